--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -69,7 +69,7 @@
 	MemoryGB    float64  `json:"MemoryGb"`
 	Image       string   `json:"Imagen"`
 	ImageGB     float64  `json:"SizeGb"`
-	Types       []string `json:"Tipos"`
+	Types       []string `json:"Tipos,omitzero"` // nil: any; in JSON absent, never []
 	Zone        string   `json:"Zona"`
 	OneZone     bool     `json:"Together"`
 	Spread      bool     `json:"Apart"`
