--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -34,7 +34,8 @@
 // cancelled elsewhere, is gone within cancel_s all the same.
 func (c *Core) horizon() int64 {
 	w := c.set.Facts.Workers
-	return min(secs(w.CancelS-w.LeaseS*1.002-3), 40*Second)
+	gap := w.CancelS - w.LeaseS*1.002
+	return min(secs(gap-min(3, gap/4)), 40*Second)
 }
 
 // leaseBound is how long after a take-over a worker that the holder before
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -258,7 +258,7 @@
 	if f.State.TxnOps < 3 {
 		return fmt.Errorf("field facts.state.txn_ops: must be at least 3, is %d", f.State.TxnOps)
 	}
-	if f.Workers.CancelS <= f.Workers.LeaseS+s.Ops.HoldTTLS {
+	if f.Workers.CancelS < f.Workers.LeaseS*1.01+2 {
 		return fmt.Errorf("field facts.workers.cancel_s: %v leaves no room after lease_s %v", f.Workers.CancelS, f.Workers.LeaseS)
 	}
 	if len(f.Zones) == 0 {
