--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -153,6 +153,9 @@
 			t = j.task(id.n)
 		}
 		mine := t != nil && t.state == placed && t.machine == m.name && t.attempt == tr.Attempt
+		if mine && j.part != m.rec.Cur {
+			continue // only its own part's holder acts on a task
+		}
 		if !mine {
 			switch {
 			case j != nil && !j.over && !j.durable(id.n):
@@ -190,7 +193,7 @@
 		j := c.jobs[id.job]
 		t := j.task(id.n)
 		switch {
-		case !viaReport || !j.durable(id.n):
+		case !viaReport || !j.durable(id.n) || j.part != m.rec.Cur:
 		case t.shown || c.mustStop(j, t):
 			c.gone(j, id.n, "no longer reported")
 		case m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j)):
@@ -219,7 +222,7 @@
 
 // gangDurable tells whether a gang is placed whole and committed so.
 func (c *Core) gangDurable(j *job) bool {
-	if j.nPlaced != j.spec.Tasks {
+	if j.nPlaced+j.nDone != j.spec.Tasks {
 		return false
 	}
 	for _, ch := range j.chunks {
@@ -234,7 +237,7 @@
 // broken tells whether a gang lost a task: the rest must go before it
 // starts again.
 func (j *job) broken() bool {
-	return j.spec.Kind == wire.Gang && !j.placing && j.nPlaced > 0 && j.nPlaced+j.nDone < j.spec.Tasks
+	return j.spec.Kind == wire.Gang && !j.placing && j.nDone == 0 && j.nPlaced > 0 && j.nPlaced < j.spec.Tasks
 }
 
 func (c *Core) mustStop(j *job, t *task) bool { return j.cancelled || t.leaving > 0 || j.broken() }
@@ -418,7 +421,9 @@
 	if m.rec.Gone {
 		if m.delOK && !m.busy {
 			c.clear(m, "deleted")
-			c.forgetMachine(m)
+			if c.emptied(m) {
+				c.forgetMachine(m)
+			}
 		}
 		return
 	}
@@ -480,6 +485,26 @@
 	c.putMachine(m, rec)
 }
 
+// emptied tells whether a machine has no tasks and that is committed. A
+// machine lent while the record still named a task on it was seen to start
+// that task for the borrower, after its owner had placed it elsewhere.
+func (c *Core) emptied(m *machine) bool {
+	if len(m.on) > 0 {
+		return false
+	}
+	for id := range m.left {
+		if j := c.jobs[id]; j != nil && !j.over {
+			for _, ch := range j.chunks {
+				if ch.gen > ch.kept {
+					return false
+				}
+			}
+		}
+		delete(m.left, id)
+	}
+	return true
+}
+
 // orphans takes tasks off machines that have no record: a record goes only
 // once all on the machine is proven gone.
 func (c *Core) orphans() {
@@ -513,7 +538,7 @@
 
 // lend moves an empty machine to another part.
 func (c *Core) lend(m *machine, to int) {
-	if m.busy || m.rec.Gone || len(m.on) > 0 || to == m.rec.Cur || to < 0 || to >= len(c.parts) {
+	if m.busy || m.rec.Gone || !c.emptied(m) || to == m.rec.Cur || to < 0 || to >= len(c.parts) {
 		return
 	}
 	c.info("machine lent", "machine", m.name, "from", m.rec.Cur, "to", to, "home", m.rec.Home)
@@ -540,8 +565,6 @@
 	m.busy = true
 	key := machKey + m.name
 	free := func() { m.busy = false }
-	// Its tasks are recorded as gone first, or in the same breath: a task
-	// whose machine has no record is taken to be gone.
 	c.guarded(c.parts[m.rec.Cur], []wire.Guard{{Key: key, Version: m.ver}}, []wire.Write{{Delete: key}}, func(uint64) {
 		c.read(func(bool) { free() })
 	}, free)
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -120,6 +120,7 @@
 	typ  *wire.MachineType
 	used sched.Res
 	on   map[taskID]bool // recorded here
+	left map[string]bool // jobs whose tasks left, perhaps not committed yet
 
 	busy bool // its record is being changed
 
@@ -318,7 +319,7 @@
 			return
 		}
 		if m == nil {
-			m = &machine{name: name, on: map[taskID]bool{}, bornAt: c.now, waitFrom: c.now, lendTo: -1}
+			m = &machine{name: name, on: map[taskID]bool{}, left: map[string]bool{}, bornAt: c.now, waitFrom: c.now, lendTo: -1}
 			if rec.At > 0 && rec.At < c.now {
 				m.bornAt = rec.At
 			}
@@ -515,6 +516,9 @@
 // change changes a task, to be committed.
 func (c *Core) change(j *job, n int, state uint8, attempt uint64, machine string) {
 	ch := j.touch(n)
+	if m := c.machines[ch.tasks[n%chunkSize].machine]; m != nil && m.name != machine {
+		m.left[j.id] = true
+	}
 	c.assign(j, n, state, attempt, machine)
 	ch.gen++
 	ch.tasks[n%chunkSize].gen = ch.gen
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -87,9 +87,6 @@
 		}
 		if !j.busy && c.now >= j.holdOff && !(j.spec.Kind == wire.Gang && j.nPlaced > 0) {
 			sj.Pending = len(j.waiting(c.now, 500))
-			if j.spec.Kind == wire.Gang && sj.Pending > 0 {
-				sj.Pending = j.spec.Tasks
-			}
 		}
 		jobs[id], shown[id] = j, sj
 		v.Jobs = append(v.Jobs, sj)
@@ -171,7 +168,9 @@
 			}
 		}
 	}
-	if j.spec.Kind == wire.Gang && len(list) < j.spec.Tasks {
+	// A gang starts whole; but once one of its tasks is done all are, and what
+	// a lost machine could not report any more is only asked for again.
+	if j.spec.Kind == wire.Gang && len(list)+j.nDone < j.spec.Tasks {
 		return nil
 	}
 	return list
@@ -255,7 +254,7 @@
 }
 
 func (c *Core) lendable(m *machine) bool {
-	return c.ours(m) != nil && m.ready && len(m.on) == 0 && len(m.reported) == 0 && !m.busy && !m.rec.Gone && !m.sick &&
+	return c.ours(m) != nil && m.ready && c.emptied(m) && len(m.reported) == 0 && !m.busy && !m.rec.Gone && !m.sick &&
 		m.notice == 0 && m.claim == "" && c.now < m.seenAt+8*Second
 }
 
--- /dev/null
+++ b/internal/rehearsal/checker.go
@@ -0,0 +1,164 @@
+package rehearsal
+
+import (
+	"fmt"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/wire"
+)
+
+// checker watches the rules of PROTOCOL from the world's side: what the
+// workers do and what the users are told.
+type checker struct {
+	w      *World
+	on     map[string][]*wtask // task → where it is
+	broken []string
+	starts int
+	killed map[string]int64 // job → when its user was told it is cancelled
+}
+
+func newChecker(w *World) *checker {
+	return &checker{w: w, on: map[string][]*wtask{}, killed: map[string]int64{}}
+}
+
+func (c *checker) breaks(rule, what string) {
+	if len(c.broken) < 50 {
+		c.w.say("BROKEN %s %s", rule, what)
+		c.broken = append(c.broken, rule+": "+what)
+	}
+}
+
+// started: a task has its image on a machine.
+func (c *checker) started(wk *worker, t *wtask) {
+	c.starts++
+	for _, o := range c.on[t.id] {
+		if o.w != wk {
+			c.breaks("ran_twice", fmt.Sprintf("%s on %s and %s", t.id, o.w.name, wk.name))
+		}
+	}
+	c.on[t.id] = append(c.on[t.id], t)
+	truth := c.w.truth[t.job]
+	spec := truth.spec(0)
+	if at, ok := c.killed[t.job]; ok && c.w.now > at+int64(c.w.sc.CancelS*float64(second)) {
+		c.breaks("ran_cancelled", t.id+" started")
+	}
+	if spec.Types != nil && spec.Types[0] != wk.typ.Name || spec.Zone != "" && spec.Zone != wk.zone || wk.spot && !spec.Spot {
+		c.breaks("wrong_place", fmt.Sprintf("%s on %s in %s, spot %t", t.id, wk.typ.Name, wk.zone, wk.spot))
+	}
+	inZone := map[string]int{}
+	used := 0.0
+	for _, list := range c.on {
+		for _, o := range list {
+			other := c.w.truth[o.job].spec(0)
+			if o.job == t.job {
+				inZone[o.w.zone]++
+			}
+			if other.Team == spec.Team {
+				used += other.GPUs
+			}
+		}
+	}
+	if spec.OneZone && len(inZone) > 1 {
+		c.breaks("wrong_place", t.id+" in a second zone")
+	}
+	if spec.Spread && inZone[wk.zone] > (spec.Tasks+1)/2 {
+		c.breaks("wrong_place", t.id+" makes too many in its zone")
+	}
+	for _, team := range c.w.sc.Teams {
+		if team.Name == spec.Team && team.GPUsMax > 0 && used > team.GPUsMax+1e-9 {
+			c.breaks("quota", fmt.Sprintf("%s uses %.0f GPUs", team.Name, used))
+		}
+	}
+}
+
+func (c *checker) left(t *wtask) {
+	for i, o := range c.on[t.id] {
+		if o == t {
+			c.on[t.id] = append(c.on[t.id][:i:i], c.on[t.id][i+1:]...)
+		}
+	}
+}
+
+func (c *checker) submitted(u *user, a *core.Answer) {
+	if a == nil {
+		return
+	}
+	if u.accepted && (a.Status == 400 || a.Status == 422) {
+		c.breaks("forgotten", fmt.Sprintf("%s submitted again: %d", u.id, a.Status))
+	}
+	if s, ok := a.Body.(wire.JobStatus); ok {
+		c.told(u, s.State)
+	}
+}
+
+func (c *checker) polled(u *user, a *core.Answer) {
+	if a == nil {
+		return
+	}
+	if a.Status == 404 {
+		c.breaks("forgotten", u.id+" answered 404")
+	}
+	if s, ok := a.Body.(wire.JobStatus); ok && a.Status == 200 {
+		c.told(u, s.State)
+	}
+}
+
+func (c *checker) cancelled(u *user, state string) {
+	if state != wire.Done && state != wire.Cancelled {
+		c.breaks("went_back", u.id+" cancelled, told "+state)
+	}
+	if c.told(u, state); state == wire.Cancelled {
+		if _, ok := c.killed[u.id]; !ok {
+			c.killed[u.id] = c.w.now
+			c.w.after(int64(c.w.sc.CancelS*float64(second)), func() {
+				for n := range max(1, u.job.Tasks) {
+					if id := fmt.Sprintf("%s/%d", u.id, n); len(c.on[id]) > 0 {
+						c.breaks("ran_cancelled", id+" is still on "+c.on[id][0].w.name)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (c *checker) told(u *user, state string) {
+	if state == wire.Cancelled && !u.asked {
+		c.breaks("went_back", u.id+" called cancelled though its user did not ask")
+	}
+	if u.final != "" && state != u.final {
+		c.breaks("went_back", u.id+" was "+u.final+", now "+state)
+	}
+	if state == wire.Done {
+		for n := range max(1, u.job.Tasks) {
+			if !c.w.results[fmt.Sprintf("%s/%d", u.id, n)] {
+				c.breaks("not_done", fmt.Sprintf("%s/%d", u.id, n))
+			}
+		}
+	}
+	if (state == wire.Done || state == wire.Cancelled) && u.final == "" {
+		u.final, u.finalAt = state, c.w.now
+	}
+	u.told = state
+}
+
+// ended checks what the scenario expects.
+func (c *checker) ended(start int64) {
+	if c.starts == 0 {
+		c.breaks("nothing_ran", "no task was started")
+	}
+	for _, e := range c.w.sc.Expects {
+		for k := range max(1, e.Count) {
+			id := fmt.Sprintf("wk-%06d", e.ID+k)
+			for _, u := range c.w.users {
+				if u.id != id {
+					continue
+				}
+				if u.told != e.State {
+					c.breaks("expected", fmt.Sprintf("%s %s, is %q", id, e.State, u.told))
+				} else if e.ByS > 0 && u.finalAt > start+int64(e.ByS*float64(second)) {
+					c.breaks("expected", fmt.Sprintf("%s by %.0f s, came at %.1f", id, e.ByS, float64(u.finalAt-start)/float64(second)))
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/rehearsal_test.go
@@ -0,0 +1,89 @@
+package rehearsal
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// TestScenarios plays every scenario under testdata.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".toml"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sc, err := Parse(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			play(t, sc)
+		})
+	}
+}
+
+// TestSeeds plays the random day with faults drawn from many seeds: 20, or
+// as many as REHEARSAL_SEEDS says.
+func TestSeeds(t *testing.T) {
+	seeds := 20
+	if v := os.Getenv("REHEARSAL_SEEDS"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seeds = n
+	}
+	text, err := os.ReadFile("testdata/random_1.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range seeds {
+		t.Run(strconv.Itoa(1000+seed), func(t *testing.T) {
+			t.Parallel()
+			sc, err := Parse([]byte(strings.Replace(string(text), "seed = 1\n", "seed = "+strconv.Itoa(1000+seed)+"\n", 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if sc.Seed != uint64(1000+seed) {
+				t.Fatalf("seed is %d", sc.Seed)
+			}
+			play(t, sc)
+		})
+	}
+}
+
+func play(t *testing.T, sc *Scenario) {
+	t.Helper()
+	w, broken, err := Play(sc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if dir := os.Getenv("REHEARSAL_LOG"); dir != "" {
+		name := filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "_")+".log")
+		if err := os.WriteFile(name, []byte(strings.Join(w.Log, "\n")), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if sc.Said != "" && !strings.Contains(strings.Join(w.Log, "\n"), sc.Said) {
+		t.Errorf("the log does not say %q", sc.Said)
+	}
+	if sc.Breaks != "" {
+		for _, b := range broken {
+			if strings.HasPrefix(b, sc.Breaks+":") {
+				return
+			}
+		}
+		t.Fatalf("a deliberate breach of %s was not seen; broken: %q", sc.Breaks, broken)
+	}
+	if len(broken) > 0 {
+		t.Errorf("broken:\n  %s", strings.Join(broken, "\n  "))
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/scenario.go
@@ -0,0 +1,214 @@
+// Package rehearsal plays days in simulated time: the cores of several
+// controllers against stand-ins of the state service, the cloud, the workers
+// and the users, with troubles at set times. A checker that shares nothing
+// with the core watches the rules of PROTOCOL.
+package rehearsal
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/go-json-experiment/json"
+	"github.com/pelletier/go-toml/v2"
+
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// Scenario is a day, written as a small TOML file.
+type Scenario struct {
+	About     string     `toml:"about"`
+	Seed      uint64     `toml:"seed"`
+	DurationS float64    `toml:"duration_s"`
+	LeaseS    float64    `toml:"lease_s"`
+	CancelS   float64    `toml:"cancel_s"`
+	TxnOps    int        `toml:"txn_ops"`
+	Lost      float64    `toml:"lost"` // share of the state service's answers that never arrive
+	Late      float64    `toml:"late"` // share of requests to it carried out seconds late
+	Teams     []Team     `toml:"team"`
+	Types     []Type     `toml:"type"`
+	Jobs      []Job      `toml:"job"`
+	Faults    []Fault    `toml:"fault"`
+	Random    *Random    `toml:"random"`
+	Expects   []Expected `toml:"expect"`
+	Breaks    string     `toml:"breaks"` // the rule that a deliberate fault must break
+	Said      string     `toml:"said"`   // a line that the log must hold
+}
+
+// Team of a scenario.
+type Team struct {
+	Name    string  `toml:"name"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Type of machine of a scenario.
+type Type struct {
+	Name  string  `toml:"name"`
+	CPUs  float64 `toml:"cpus"`
+	GPUs  float64 `toml:"gpus"`
+	Price float64 `toml:"price"`
+	BootS float64 `toml:"boot_s"`
+	Count int     `toml:"count"` // for each zone and kind
+}
+
+// Job of a scenario; Every and Count repeat it under following ids.
+type Job struct {
+	AtS         float64 `toml:"at_s"`
+	ID          int     `toml:"id"`
+	Count       int     `toml:"count"`
+	EveryS      float64 `toml:"every_s"`
+	Team        string  `toml:"team"`
+	Kind        string  `toml:"kind"`
+	Priority    string  `toml:"priority"`
+	Tasks       int     `toml:"tasks"`
+	CPUs        float64 `toml:"cpus"`
+	GPUs        float64 `toml:"gpus"`
+	RunS        float64 `toml:"run_s"`
+	EstimateS   float64 `toml:"estimate_s"`
+	ImageGB     float64 `toml:"image_gb"`
+	CheckpointS float64 `toml:"checkpoint_s"`
+	Spot        bool    `toml:"spot"`
+	OneZone     bool    `toml:"one_zone"`
+	Spread      bool    `toml:"spread"`
+	Type        string  `toml:"type"`
+	Zone        string  `toml:"zone"`
+	CancelAtS   float64 `toml:"cancel_at_s"`
+	Bad         bool    `toml:"bad"` // fails on every machine
+}
+
+// Fault is a trouble at a set time.
+type Fault struct {
+	AtS  float64 `toml:"at_s"`
+	ForS float64 `toml:"for_s"`
+	Kind string  `toml:"kind"`
+	Node int     `toml:"node"`
+	Hold bool    `toml:"hold"` // packets are delivered after the cut
+	Part int     `toml:"part"` // instead of Node: the part's holder, counted from 1
+}
+
+// Random draws faults from the seed.
+type Random struct {
+	Faults int      `toml:"faults"`
+	FromS  float64  `toml:"from_s"`
+	ToS    float64  `toml:"to_s"`
+	Kinds  []string `toml:"kinds"`
+}
+
+// Expected is what must hold of a job at the end, or by some time.
+type Expected struct {
+	ID    int     `toml:"id"`
+	Count int     `toml:"count"`
+	State string  `toml:"state"`
+	ByS   float64 `toml:"by_s"`
+}
+
+// Parse reads a scenario.
+func Parse(text []byte) (*Scenario, error) {
+	s := &Scenario{Seed: 1, DurationS: 300, LeaseS: 20, CancelS: 45, TxnOps: 12}
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	if len(s.Teams) == 0 {
+		s.Teams = []Team{{Name: "norte", GPUs: 8}, {Name: "sur", GPUs: 8}, {Name: "oeste", GPUs: 8}}
+	}
+	if len(s.Types) == 0 {
+		s.Types = []Type{{Name: "g4", CPUs: 24, GPUs: 4, Price: 8, BootS: 10, Count: 4}}
+	}
+	if r := s.Random; r != nil {
+		rng := rand.New(rand.NewPCG(s.Seed, 77))
+		for range r.Faults {
+			s.Faults = append(s.Faults, Fault{AtS: r.FromS + rng.Float64()*(r.ToS-r.FromS), ForS: 1 + rng.Float64()*25,
+				Kind: r.Kinds[rng.IntN(len(r.Kinds))], Node: rng.IntN(3), Hold: rng.IntN(2) == 0})
+		}
+	}
+	return s, nil
+}
+
+var zones = []string{"alta", "baja"}
+
+// spec gives a job as its user would submit it.
+func (j Job) spec(n int) wire.Job {
+	w := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "class", Team: j.Team, Kind: j.Kind, Priority: j.Priority, Tasks: max(1, j.Tasks),
+		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: 1, Image: "img-" + j.Kind, ImageGB: j.ImageGB, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
+		Spot: j.Spot, EstimateS: j.EstimateS, CheckpointS: j.CheckpointS}
+	if w.Kind == "" {
+		w.Kind = wire.Array
+	}
+	if w.Priority == "" {
+		w.Priority = "standard"
+	}
+	if w.Team == "" {
+		w.Team = "norte"
+	}
+	if w.EstimateS == 0 && w.Kind != wire.Daemon {
+		w.EstimateS = j.RunS
+	}
+	if w.CPUs == 0 {
+		w.CPUs = 1
+	}
+	if w.CheckpointS > 0 {
+		w.SaveS = 2
+	}
+	if j.Type != "" {
+		w.Types = []string{j.Type}
+	}
+	return w
+}
+
+// submission is a job's body; the wire's form has nulls that ours leaves out.
+func submission(w wire.Job) []byte {
+	b, err := json.Marshal(w)
+	if err != nil {
+		panic(err) // a plain record: cannot fail
+	}
+	if w.Zone == "" || w.DeadlineS == 0 {
+		var m map[string]any
+		if err := json.Unmarshal(b, &m); err != nil {
+			panic(err)
+		}
+		if w.Zone == "" {
+			m["Zona"] = nil
+		}
+		if w.DeadlineS == 0 {
+			m["PlazoS"] = nil
+		}
+		if b, err = json.Marshal(m, json.Deterministic(true)); err != nil {
+			panic(err)
+		}
+	}
+	return b
+}
+
+// settingsFor gives node i's settings.
+func (s *Scenario) settingsFor(i int) (*settings.Settings, error) {
+	var p settings.Platform
+	for n := range 3 {
+		if n != i {
+			p.Peers = append(p.Peers, settings.Peer{Name: nodeName(n), Zone: zones[n%2], Addr: fmt.Sprintf("10.0.0.%d:8081", n+1)})
+		}
+	}
+	p.Node, p.Zone = nodeName(i), zones[i%2]
+	p.PublicAddr, p.InternalAddr = fmt.Sprintf("10.0.0.%d:8080", i+1), fmt.Sprintf("10.0.0.%d:8081", i+1)
+	p.Endpoints.Cloud, p.Endpoints.State = "10.2.0.2:8443", "10.2.0.1:2379"
+	f := &p.Facts
+	f.Nodes, f.Zones = 3, zones
+	for _, t := range s.Teams {
+		f.Teams = append(f.Teams, settings.Team{Name: t.Name, GPUs: t.GPUs, GPUsMax: t.GPUsMax})
+	}
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 3, s.LeaseS, s.CancelS
+	f.Workers.GangWaitS, f.Workers.GangPeerS = 40, 4
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 200, 60, 8, s.TxnOps
+	f.Cloud.RPS, f.Cloud.ListLagS = 6, 5
+	f.Limits.Cores, f.Limits.MemMB, f.Limits.MaxConnections = 0.2, 100, 1000
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	return settings.Parse(raw, settings.Defaults())
+}
+
+func nodeName(i int) string { return fmt.Sprintf("nodo-%d", i) }
--- /dev/null
+++ b/internal/rehearsal/services.go
@@ -0,0 +1,301 @@
+package rehearsal
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/wire"
+)
+
+// store stands in for the state service.
+type store struct {
+	w      *World
+	keys   map[string]*value
+	rev    uint64
+	log    []wire.Event
+	leases map[uint64]*hold
+	lease  uint64
+	down   int64 // until when
+	watch  []*watcher
+}
+
+type value struct {
+	value   []byte
+	version uint64
+	lease   uint64
+}
+
+type hold struct {
+	ttl int64
+	end int64
+}
+
+type watcher struct {
+	n     *node
+	since uint64
+	done  bool
+	reply func(*core.StoreReply)
+}
+
+func newStore(w *World) *store {
+	s := &store{w: w, keys: map[string]*value{}, leases: map[uint64]*hold{}}
+	w.every(second/20, s.expire)
+	return s
+}
+
+// outage refuses everyone; after it every lease has its full time once more.
+func (s *store) outage(d int64) {
+	s.down = s.w.now + d
+	for _, h := range s.leases {
+		h.end = s.down + h.ttl
+	}
+}
+
+func (s *store) expire() {
+	if s.w.now < s.down {
+		return
+	}
+	for id := uint64(1); id <= s.lease; id++ {
+		h := s.leases[id]
+		if h == nil || s.w.now < h.end {
+			continue
+		}
+		delete(s.leases, id)
+		var gone []wire.Write
+		for _, k := range s.sorted("") {
+			if s.keys[k].lease == id {
+				gone = append(gone, wire.Write{Delete: k})
+			}
+		}
+		if gone != nil {
+			s.apply(gone)
+		}
+	}
+	s.wake()
+}
+
+func (s *store) sorted(prefix string) []string {
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *store) apply(writes []wire.Write) {
+	s.rev++
+	for _, x := range writes {
+		if x.Delete != "" {
+			if s.keys[x.Delete] != nil {
+				delete(s.keys, x.Delete)
+				s.log = append(s.log, wire.Event{Delete: x.Delete, Version: s.rev})
+			}
+			continue
+		}
+		s.keys[x.Put] = &value{x.Value, s.rev, x.Lease}
+		s.log = append(s.log, wire.Event{Put: x.Put, Value: x.Value, Version: s.rev})
+	}
+}
+
+func (s *store) events(since uint64) wire.Follow {
+	f := wire.Follow{Revision: s.rev}
+	for _, e := range s.log {
+		if e.Version > since && strings.HasPrefix(e.Put+e.Delete, core.Live) {
+			f.Events = append(f.Events, e)
+		}
+	}
+	return f
+}
+
+func (s *store) wake() {
+	if s.w.now < s.down {
+		return
+	}
+	left := s.watch[:0]
+	for _, x := range s.watch {
+		if x.done {
+			continue
+		}
+		if f := s.events(x.since); len(f.Events) > 0 && !x.n.refused {
+			x.done = true
+			x.reply(&core.StoreReply{Status: 200, Follow: f})
+			continue
+		}
+		left = append(left, x)
+	}
+	s.watch = left
+}
+
+func (s *store) call(n *node, v core.StoreCall, reply func(*core.StoreReply)) {
+	r := &core.StoreReply{Call: v.Call, Status: 200}
+	if s.w.now < s.down || n.refused {
+		r.Status = 503
+		reply(r)
+		return
+	}
+	switch v.Op {
+	case core.OpGet:
+		if k := s.keys[v.Key]; k != nil {
+			r.Item = wire.Item{Key: v.Key, Value: k.value, Version: k.version}
+		} else {
+			r.Status = 404
+		}
+	case core.OpList:
+		r.Items.Revision = s.rev
+		for _, k := range s.sorted(core.Live) {
+			if k <= v.Key {
+				continue
+			}
+			if len(r.Items.Items) == 50 {
+				r.Items.More = true
+				break
+			}
+			r.Items.Items = append(r.Items.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
+		}
+	case core.OpHold:
+		s.lease++
+		s.leases[s.lease] = &hold{v.TTLMs * second / 1000, s.w.now + v.TTLMs*second/1000}
+		r.Lease = s.lease
+	case core.OpExtend:
+		if h := s.leases[v.Lease]; h != nil {
+			h.end = s.w.now + h.ttl
+		} else {
+			r.Status = 404
+		}
+	case core.OpFollow:
+		f := s.events(v.Since)
+		if len(f.Events) == 0 && v.WaitMs > 0 {
+			x := &watcher{n: n, since: v.Since, reply: func(got *core.StoreReply) {
+				got.Call = v.Call
+				reply(got)
+			}}
+			s.watch = append(s.watch, x)
+			s.w.after(int64(v.WaitMs)*second/1000, func() {
+				if !x.done && s.w.now >= s.down && !n.refused {
+					x.done = true
+					x.reply(&core.StoreReply{Status: 200, Follow: s.events(x.since)})
+				}
+			})
+			return
+		}
+		r.Follow = f
+	case core.OpTxn:
+		s.txn(v.Txn, r)
+	}
+	reply(r)
+	s.wake()
+}
+
+func (s *store) txn(t *wire.Txn, r *core.StoreReply) {
+	ops := s.w.sc.TxnOps
+	if len(t.Then) > ops || len(t.If) > 4*ops {
+		s.w.check.breaks("store_limits", fmt.Sprintf("%d writes, %d conditions", len(t.Then), len(t.If)))
+	}
+	for _, g := range t.If {
+		have := uint64(0)
+		if k := s.keys[g.Key]; k != nil {
+			have = k.version
+		}
+		if have != g.Version {
+			r.Status = 409
+			r.Txn.Failed = append(r.Txn.Failed, g.Key)
+		}
+	}
+	r.Txn.Revision = s.rev
+	for _, x := range t.Then {
+		if x.Lease != 0 && s.leases[x.Lease] == nil {
+			r.Status, r.Txn.Error = 400, "no such lease"
+		}
+		if len(x.Value) > 8<<10 {
+			s.w.check.breaks("store_limits", fmt.Sprintf("%s has %d bytes", x.Put, len(x.Value)))
+		}
+	}
+	if r.Status == 200 {
+		s.apply(t.Then)
+		r.Txn.Revision = s.rev
+	}
+}
+
+// cloud stands in for the cloud.
+type cloud struct {
+	w     *World
+	types []wire.MachineType
+	asked map[string][]string
+	next  int
+	down  bool
+	empty bool
+}
+
+func newCloud(w *World) *cloud {
+	c := &cloud{w: w, asked: map[string][]string{}}
+	for _, t := range w.sc.Types {
+		c.types = append(c.types, wire.MachineType{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: 100, CacheGB: 50, FetchGBs: 1,
+			Price: t.Price, SpotPrice: t.Price / 3, BootS: t.BootS, Zones: zones})
+	}
+	return c
+}
+
+func (c *cloud) call(v core.CloudCall) *core.CloudReply {
+	r := &core.CloudReply{Call: v.Call, Status: 200}
+	if c.down {
+		r.Status = 503
+		return r
+	}
+	switch v.Op {
+	case core.OpCatalog:
+		r.Catalog.Types = c.types
+	case core.OpRent:
+		if r.Names = c.rent(v.Rent); len(r.Names) == 0 {
+			r.Status = 503
+		}
+	case core.OpDelete:
+		for _, name := range v.Names {
+			for _, wk := range c.w.workers {
+				if wk.name == name {
+					wk.die()
+				}
+			}
+		}
+	case core.OpMachines:
+		for _, wk := range c.w.workers {
+			if wk.gone || wk.name <= v.After || c.w.now < wk.born+5*second {
+				continue
+			}
+			state := wire.Booting
+			if wk.up {
+				state = wire.Running
+			}
+			r.Machines.Machines = append(r.Machines.Machines, wire.CloudMachine{ID: wk.name, Addr: wk.addr, Type: wk.typ.Name,
+				Zone: wk.zone, Spot: wk.spot, State: state, AgeS: float64(c.w.now-wk.born) / float64(second)})
+		}
+	}
+	return r
+}
+
+func (c *cloud) rent(req *wire.Rent) []string {
+	if names := c.asked[req.Request]; names != nil {
+		return names
+	}
+	for i, t := range c.types {
+		if t.Name != req.Type || c.empty {
+			continue
+		}
+		room := c.w.sc.Types[i].Count
+		for _, wk := range c.w.workers {
+			if !wk.gone && wk.typ.Name == t.Name && wk.zone == req.Zone && wk.spot == req.Spot {
+				room--
+			}
+		}
+		for range min(room, req.Count) {
+			wk := newWorker(c.w, fmt.Sprintf("n-%06d", c.next), t, req.Zone, req.Spot)
+			c.next++
+			c.asked[req.Request] = append(c.asked[req.Request], wk.name)
+		}
+	}
+	return c.asked[req.Request]
+}
--- /dev/null
+++ b/internal/rehearsal/users.go
@@ -0,0 +1,111 @@
+package rehearsal
+
+import (
+	"spurmoor/internal/core"
+	"spurmoor/internal/wire"
+)
+
+// user stands in for the owner of one job.
+type user struct {
+	w        *World
+	id       string
+	body     []byte
+	job      Job
+	accepted bool
+	final    string
+	finalAt  int64
+	told     string
+	asked    bool // to cancel
+	cancelAt int64
+	tries    int
+}
+
+func (w *World) addUser(j Job, n int, at int64) {
+	spec := j.spec(n)
+	j.Kind = spec.Kind
+	u := &user{w: w, id: spec.ID, body: submission(spec), job: j}
+	w.users = append(w.users, u)
+	w.at(at, func() {
+		w.truth[u.id] = j
+		u.submit()
+	})
+	if j.CancelAtS > 0 {
+		w.at(at+int64(j.CancelAtS*float64(second)), u.cancel)
+	}
+}
+
+// through sends a request to some node that is up; f gets nil when no answer
+// came in time.
+func (u *user) through(in func(req uint64) any, f func(*core.Answer)) {
+	w := u.w
+	n := w.nodes[w.rng.IntN(3)]
+	answered := false
+	w.after(5*second, func() {
+		if !answered {
+			answered = true
+			f(nil)
+		}
+	})
+	if !n.up || n.cut["all"] {
+		return
+	}
+	w.after(w.latency(), func() {
+		if n.up {
+			w.request(n, in, func(a core.Answer) {
+				w.after(w.latency(), func() {
+					if !answered {
+						answered = true
+						f(&a)
+					}
+				})
+			})
+		}
+	})
+}
+
+func (u *user) submit() {
+	u.through(func(req uint64) any { return core.Submit{Req: req, Body: u.body} }, func(a *core.Answer) {
+		u.w.check.submitted(u, a)
+		if a == nil || a.Status != 200 && a.Status != 201 {
+			if a == nil || a.Status >= 429 {
+				u.w.after(second+u.w.rng.Int64N(second), u.submit)
+			}
+			return
+		}
+		if !u.accepted {
+			u.accepted = true
+			u.w.after(5*second, u.poll)
+		}
+	})
+}
+
+func (u *user) poll() {
+	u.through(func(req uint64) any { return core.Poll{Req: req, ID: u.id} }, func(a *core.Answer) {
+		u.w.check.polled(u, a)
+		if u.final == "" {
+			u.w.after(5*second, u.poll)
+			return
+		}
+		// It may ask again at any later time, and a late copy of the
+		// submission may arrive.
+		if u.tries++; u.tries < 8 {
+			u.w.after(10*second, u.poll)
+			u.w.after(second, u.submit)
+		}
+	})
+}
+
+func (u *user) cancel() {
+	u.asked = true
+	u.through(func(req uint64) any { return core.Cancel{Req: req, ID: u.id} }, func(a *core.Answer) {
+		if a != nil && a.Status == 200 {
+			u.w.check.cancelled(u, a.Body.(wire.JobStatus).State)
+			return
+		}
+		if a == nil || a.Status != 404 || !u.accepted {
+			u.w.after(second, u.cancel)
+		} else {
+			u.w.check.breaks("forgotten", u.id+" at its cancellation")
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/worker.go
@@ -0,0 +1,423 @@
+package rehearsal
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/wire"
+)
+
+// worker stands in for a machine with its worker.
+type worker struct {
+	w        *World
+	name     string
+	addr     string
+	typ      wire.MachineType
+	zone     string
+	spot     bool
+	born     int64
+	up       bool
+	gone     bool
+	hung     bool
+	sick     bool
+	missed   []func()
+	session  uint64
+	seq      uint64
+	token    uint64
+	leased   int64 // when the last answered report was sent
+	noticeAt int64
+	node     int
+	asking   int64 // number of the report in flight; 0: none
+	asks     int64
+	nextAt   int64
+	lastAt   int64
+	tasks    []*wtask
+	cached   map[string]bool
+}
+
+type wtask struct {
+	w       *worker
+	id      string
+	job     string
+	attempt uint64
+	state   string
+	why     string
+	saved   bool
+	on      bool
+	runFrom int64
+	epoch   int
+}
+
+func newWorker(w *World, name string, t wire.MachineType, zone string, spot bool) *worker {
+	wk := &worker{w: w, name: name, addr: "10.1.0.1:" + strconv.Itoa(9000+len(w.workers)), typ: t, zone: zone, spot: spot,
+		born: w.now, session: 1, cached: map[string]bool{}, node: w.rng.IntN(3)}
+	w.workers = append(w.workers, wk)
+	w.after(int64(t.BootS*(0.6+0.9*w.rng.Float64())*float64(second)), func() {
+		if !wk.gone {
+			wk.up, wk.leased = true, w.now
+			w.every(second/10, wk.tick)
+		}
+	})
+	return wk
+}
+
+func (w *World) workerAt(addr string) *worker {
+	for _, wk := range w.workers {
+		if wk.addr == addr {
+			return wk
+		}
+	}
+	return nil
+}
+
+// awake does something now, or when a hanging machine resumes.
+func (wk *worker) awake(do func()) {
+	switch {
+	case wk.gone:
+	case wk.hung:
+		wk.missed = append(wk.missed, do)
+	default:
+		do()
+	}
+}
+
+func (wk *worker) resume() {
+	wk.hung = false
+	missed := wk.missed
+	wk.missed = nil
+	wk.expire()
+	for _, do := range missed {
+		wk.awake(do)
+	}
+}
+
+func (wk *worker) expire() {
+	if !wk.gone && wk.w.now > wk.leased+int64(wk.w.sc.LeaseS*float64(second)) {
+		wk.w.say("%s lease expired", wk.name)
+		for _, t := range wk.tasks {
+			t.off()
+		}
+		wk.tasks = nil
+		wk.session++
+		wk.leased = wk.w.now
+		wk.asking = 0
+		wk.changed()
+	}
+}
+
+func (wk *worker) die() {
+	if wk.gone {
+		return
+	}
+	wk.gone = true
+	for _, t := range wk.tasks {
+		t.off()
+	}
+	wk.tasks = nil
+}
+
+func (wk *worker) tick() {
+	if wk.gone || wk.hung {
+		return
+	}
+	wk.expire()
+	if wk.asking == 0 && wk.w.now >= wk.nextAt {
+		wk.send()
+	}
+}
+
+// changed brings the next report forward.
+func (wk *worker) changed() { wk.nextAt = min(wk.nextAt, max(wk.w.now, wk.lastAt+second/2)) }
+
+func (wk *worker) report() *wire.Report {
+	wk.seq++
+	r := &wire.Report{Machine: wk.name, Addr: wk.addr, Type: wk.typ.Name, Zone: wk.zone, Spot: wk.spot, Session: wk.session, Seq: wk.seq, Token: wk.token}
+	if wk.noticeAt > 0 {
+		s := float64(wk.noticeAt-wk.w.now) / float64(second)
+		r.NoticeS = &s
+	}
+	for _, t := range wk.tasks {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.id, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.saved})
+	}
+	return r
+}
+
+func (wk *worker) send() {
+	w := wk.w
+	sent, session := w.now, wk.session
+	wk.asks++
+	ask := wk.asks
+	wk.asking, wk.lastAt = ask, w.now
+	wk.nextAt = w.now + 9*second/4 + w.rng.Int64N(3*second/2)
+	n := w.nodes[wk.node]
+	r := wk.report()
+	w.say("%s reports %d/%d to %s: %d tasks", wk.name, r.Session, r.Seq, n.name, len(r.Tasks))
+	finish := func(next int64, other int) {
+		if wk.asking == ask {
+			wk.asking = 0
+			wk.node = other
+			wk.nextAt = min(wk.nextAt, next)
+		}
+	}
+	w.after(4*second, func() { finish(w.now+second, (wk.node+1)%3) })
+	if !n.up {
+		w.after(second/100, func() { finish(w.now+second, (wk.node+1)%3); wk.nextAt = max(wk.nextAt, w.now+second) })
+		return
+	}
+	w.carry(n, "workers", func() {
+		if !n.up {
+			return
+		}
+		w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: r} }, func(a core.Answer) {
+			w.carry(n, "workers", func() {
+				wk.awake(func() {
+					if wk.asking != ask || wk.session != session {
+						return // given up on, or of an earlier session
+					}
+					if o, ok := a.Body.(wire.Orders); ok && a.Status == 200 {
+						finish(wk.nextAt, wk.node)
+						if o.Token < wk.token {
+							return
+						}
+						wk.raise(o.Token)
+						wk.leased = sent
+						wk.obey(o.Commands)
+						return
+					}
+					other := (wk.node + 1) % 3
+					wait := second
+					if d, ok := a.Body.(wire.Redirect); ok && a.Status == 421 && d.To != "" && d.To != n.name {
+						for i, o := range w.nodes {
+							if o.name == d.To {
+								other, wait = i, w.rng.Int64N(second/2)
+							}
+						}
+					}
+					finish(w.now+wait, other)
+					wk.nextAt = w.now + wait
+				})
+			})
+		})
+	})
+}
+
+func (wk *worker) raise(token uint64) {
+	if token > wk.token {
+		wk.token = token
+		wk.changed()
+	}
+}
+
+func (wk *worker) commands(p wire.Push) (int, *wire.Report) {
+	if p.Token < wk.token || p.Session != wk.session {
+		return 409, wk.report()
+	}
+	wk.raise(p.Token)
+	wk.obey(p.Commands)
+	return 200, wk.report()
+}
+
+func (wk *worker) find(id string, attempt uint64) *wtask {
+	for _, t := range wk.tasks {
+		if t.id == id && t.attempt == attempt {
+			return t
+		}
+	}
+	return nil
+}
+
+func (wk *worker) obey(cmds []wire.Command) {
+	for _, c := range cmds {
+		t := wk.find(c.Task, c.Attempt)
+		wk.w.say("%s does %s %s attempt %d", wk.name, c.Op, c.Task, c.Attempt)
+		switch {
+		case c.Op == wire.Start && t == nil:
+			wk.start(c)
+		case c.Op == wire.Stop && t != nil:
+			t.stop(*c.GraceS)
+		case c.Op == wire.Forget && t != nil && t.state == wire.Exited:
+			wk.tasks = slices.DeleteFunc(wk.tasks, func(o *wtask) bool { return o == t })
+		}
+	}
+}
+
+func (wk *worker) start(c wire.Command) {
+	job, _, _ := strings.Cut(c.Task, "/")
+	t := &wtask{w: wk, id: c.Task, job: job, attempt: c.Attempt, state: wire.Fetching}
+	truth, ok := wk.w.truth[job]
+	for _, o := range wk.tasks {
+		if o.id == c.Task && o.state != wire.Exited {
+			t.exit(wire.Busy)
+		}
+	}
+	spec := truth.spec(0)
+	cpus, gpus := spec.CPUs, spec.GPUs
+	for _, o := range wk.tasks {
+		if o.state != wire.Exited {
+			os := wk.w.truth[o.job].spec(0)
+			cpus, gpus = cpus+os.CPUs, gpus+os.GPUs
+		}
+	}
+	if t.state != wire.Exited && (cpus > wk.typ.CPUs+1e-9 || gpus > wk.typ.GPUs+1e-9) {
+		t.exit(wire.NoRoom)
+	}
+	if !ok {
+		t.exit(wire.NoSuch)
+	}
+	wk.tasks = append(wk.tasks, t)
+	if t.state == wire.Exited {
+		return
+	}
+	wk.changed()
+	fetch := int64(truth.ImageGB * float64(second))
+	if wk.cached[spec.Image] {
+		fetch = second / 100
+	}
+	t.later(fetch, func() {
+		wk.cached[spec.Image] = true
+		t.on = true
+		wk.w.check.started(wk, t)
+		switch {
+		case wk.w.results[t.id]:
+			t.exit(wire.Done)
+		case wk.sick || truth.Bad:
+			t.later(second, func() { t.exit(wire.Failed) })
+		case spec.Kind == wire.Gang:
+			t.state = wire.Waiting
+			wk.changed()
+			t.later(40*second, func() {
+				if t.state == wire.Waiting {
+					t.exit(wire.Alone)
+				}
+			})
+			wk.w.gather(t, truth)
+		default:
+			t.run(truth)
+		}
+	})
+}
+
+// later does something unless the task has ended or moved on by then.
+func (t *wtask) later(d int64, do func()) {
+	epoch := t.epoch
+	t.w.w.after(d, func() {
+		t.w.awake(func() {
+			if t.epoch == epoch && t.state != wire.Exited {
+				do()
+			}
+		})
+	})
+}
+
+func (t *wtask) run(truth Job) {
+	t.state, t.runFrom = wire.Running, t.w.w.now
+	t.epoch++
+	t.w.changed()
+	if truth.Kind == wire.Daemon {
+		return
+	}
+	left := int64(truth.RunS*float64(second)) - t.w.w.saved[t.key(truth)]
+	t.later(max(left, second/10), func() { t.exit(wire.Done) })
+}
+
+// key is what progress is saved under: a gang's is the job's.
+func (t *wtask) key(truth Job) string {
+	if truth.Kind == wire.Gang {
+		return t.job
+	}
+	return t.id
+}
+
+// gather starts a gang once all its tasks wait.
+func (w *World) gather(t *wtask, truth Job) {
+	mates := w.mates(t)
+	if len(mates) < max(1, truth.Tasks) {
+		return
+	}
+	for _, m := range mates {
+		if m.state != wire.Waiting {
+			return
+		}
+	}
+	for _, m := range mates {
+		m.run(truth)
+	}
+}
+
+func (w *World) mates(t *wtask) []*wtask {
+	var list []*wtask
+	for _, wk := range w.workers {
+		for _, o := range wk.tasks {
+			if !wk.gone && o.job == t.job && o.attempt == t.attempt && o.state != wire.Exited {
+				list = append(list, o)
+			}
+		}
+	}
+	return list
+}
+
+func (t *wtask) stop(grace float64) {
+	truth := t.w.w.truth[t.job]
+	spec := truth.spec(0)
+	switch {
+	case t.state == wire.Exited:
+	case t.state == wire.Running && spec.CheckpointS > 0 && grace >= spec.SaveS:
+		done := t.w.w.now - t.runFrom
+		t.state = wire.Saving
+		t.epoch++
+		t.w.changed()
+		t.later(int64(spec.SaveS*float64(second)), func() {
+			t.w.w.saved[t.key(truth)] += done
+			t.saved = true
+			t.exit(wire.Stopped)
+		})
+	case t.state == wire.Saving && grace > 0:
+	default:
+		t.exit(wire.Stopped)
+	}
+}
+
+// exit ends a task; its gang notices.
+func (t *wtask) exit(why string) {
+	running := t.state == wire.Running || t.state == wire.Saving
+	if why == wire.Done {
+		t.w.w.results[t.id] = true
+		if truth := t.w.w.truth[t.job]; truth.Kind == wire.Gang {
+			for n := range max(1, truth.Tasks) { // a gang completes together
+				t.w.w.results[t.job+"/"+strconv.Itoa(n)] = true
+			}
+		}
+	}
+	t.state, t.why = wire.Exited, why
+	t.off()
+	t.w.changed()
+	if running && why != wire.Done {
+		t.tellMates()
+	}
+}
+
+func (t *wtask) tellMates() {
+	if t.w.w.truth[t.job].Kind != wire.Gang {
+		return
+	}
+	for _, m := range t.w.w.mates(t) {
+		if m != t && m.state == wire.Running {
+			m.later(2*second, func() { m.exit(wire.Peers) })
+		}
+	}
+}
+
+func (t *wtask) off() {
+	lost := t.on && t.state == wire.Running
+	t.epoch++
+	if t.on {
+		t.on = false
+		t.w.w.check.left(t)
+	}
+	if lost {
+		t.state = wire.Exited
+		t.tellMates()
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/world.go
@@ -0,0 +1,371 @@
+package rehearsal
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/wire"
+)
+
+const second = core.Second
+
+// event is something that happens at a time; ties go by order of planning.
+type event struct {
+	at  int64
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push is heap.Interface's.
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop is heap.Interface's.
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// node is one controller: its core and what reaches it.
+type node struct {
+	i       int
+	name    string
+	core    *core.Core
+	up      bool
+	epoch   int
+	refused bool // by the state service alone
+	cut     map[string]bool
+	hold    bool
+	held    []func()
+	reqs    map[uint64]func(core.Answer)
+	nextReq uint64
+}
+
+// World is a day being played.
+type World struct {
+	sc      *Scenario
+	now     int64
+	rng     *rand.Rand
+	q       queue
+	seq     int
+	nodes   []*node
+	store   *store
+	cloud   *cloud
+	workers []*worker
+	users   []*user
+	check   *checker
+	gangs   map[string]bool
+	saved   map[string]int64
+	results map[string]bool
+	truth   map[string]Job
+	Log     []string
+}
+
+// Play plays a scenario to its end and gives what went wrong.
+func Play(sc *Scenario) (*World, []string, error) {
+	w := &World{sc: sc, now: 1_700_000_000 * second, rng: rand.New(rand.NewPCG(sc.Seed, 1)), gangs: map[string]bool{},
+		saved: map[string]int64{}, results: map[string]bool{}, truth: map[string]Job{}}
+	start := w.now
+	w.check = newChecker(w)
+	w.store = newStore(w)
+	w.cloud = newCloud(w)
+	for i := range 3 {
+		n := &node{i: i, name: nodeName(i), cut: map[string]bool{}}
+		w.nodes = append(w.nodes, n)
+		if err := w.boot(n); err != nil {
+			return nil, nil, err
+		}
+	}
+	w.every(second/10, func() {
+		for _, n := range w.nodes {
+			w.step(n, core.Tick{})
+		}
+	})
+	for _, j := range sc.Jobs {
+		for k := range max(1, j.Count) {
+			w.addUser(j, j.ID+k, start+int64((j.AtS+float64(k)*j.EveryS)*float64(second)))
+		}
+	}
+	for _, f := range sc.Faults {
+		w.at(start+int64(f.AtS*float64(second)), func() { w.fault(f) })
+	}
+	end := start + int64(sc.DurationS*float64(second))
+	for len(w.q) > 0 && w.q[0].at <= end {
+		e := heap.Pop(&w.q).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.check.ended(start)
+	return w, w.check.broken, nil
+}
+
+func (w *World) at(t int64, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{max(t, w.now), w.seq, do})
+}
+
+func (w *World) after(d int64, do func()) { w.at(w.now+d, do) }
+
+func (w *World) every(d int64, do func()) {
+	var again func()
+	again = func() {
+		do()
+		w.after(d, again)
+	}
+	w.after(d, again)
+}
+
+func (w *World) say(format string, args ...any) {
+	w.Log = append(w.Log, fmt.Sprintf("%9.3f ", float64(w.now-1_700_000_000*second)/float64(second))+fmt.Sprintf(format, args...))
+}
+
+// boot starts a node's process anew; nothing of the old one remains.
+func (w *World) boot(n *node) error {
+	set, err := w.sc.settingsFor(n.i)
+	if err != nil {
+		return err
+	}
+	n.epoch++
+	n.up, n.reqs = true, map[uint64]func(core.Answer){}
+	n.core = core.New(set, w.rng.Uint64()>>12, rand.New(rand.NewPCG(w.sc.Seed, uint64(100+n.i))))
+	return nil
+}
+
+func (w *World) step(n *node, in any) {
+	if !n.up {
+		return
+	}
+	for _, e := range n.core.Step(w.now, in) {
+		w.effect(n, e)
+	}
+}
+
+// request hands a request to a node; f gets its answer unless the node ends.
+func (w *World) request(n *node, in func(req uint64) any, f func(core.Answer)) {
+	n.nextReq++
+	req := n.nextReq
+	n.reqs[req] = f
+	w.step(n, in(req))
+}
+
+func (w *World) latency() int64 { return second/1000 + w.rng.Int64N(second/200) }
+
+// carry delivers something between a node and the party named unless that
+// way is cut; a cut may hold it back until it ends.
+func (w *World) carry(n *node, to string, do func()) {
+	w.after(w.latency(), func() {
+		switch {
+		case !n.cut[to] && !n.cut["all"]:
+			do()
+		case n.hold:
+			n.held = append(n.held, do)
+		}
+	})
+}
+
+func (w *World) effect(n *node, e any) {
+	epoch := n.epoch
+	back := func(in any) {
+		if n.epoch == epoch {
+			w.step(n, in)
+		}
+	}
+	switch v := e.(type) {
+	case core.Answer:
+		if f := n.reqs[v.Req]; f != nil {
+			delete(n.reqs, v.Req)
+			f(v)
+		}
+	case core.StoreCall:
+		answered := false
+		w.after(int64(2500+v.WaitMs)*second/1000, func() {
+			if !answered {
+				answered = true
+				back(&core.StoreReply{Call: v.Call})
+			}
+		})
+		late := int64(0)
+		if v.Op == core.OpTxn && w.rng.Float64() < w.sc.Late {
+			late = w.rng.Int64N(8 * second)
+		}
+		w.after(late, func() {
+			w.carry(n, "store", func() {
+				w.store.call(n, v, func(r *core.StoreReply) {
+					if v.Op != core.OpFollow && w.rng.Float64() < w.sc.Lost {
+						return
+					}
+					w.carry(n, "store", func() {
+						if !answered {
+							answered = true
+							back(r)
+						}
+					})
+				})
+			})
+		})
+	case core.CloudCall:
+		w.after(second/5, func() {
+			r := w.cloud.call(v)
+			w.after(second/20, func() { back(r) })
+		})
+	case core.Push:
+		answered := false
+		w.after(3*second, func() {
+			if !answered {
+				answered = true
+				back(core.Pushed{Machine: v.Machine, Token: v.Body.Token})
+			}
+		})
+		w.carry(n, "workers", func() {
+			wk := w.workerAt(v.Addr)
+			if wk == nil || wk.gone {
+				return
+			}
+			wk.awake(func() {
+				status, rep := wk.commands(v.Body)
+				w.carry(n, "workers", func() {
+					if !answered {
+						answered = true
+						back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Status: status, Report: rep})
+					}
+				})
+			})
+		})
+	case core.Tell:
+		hello := *v.Hello
+		for _, o := range w.nodes {
+			if o != n {
+				w.carry(n, "peers", func() { w.carry(o, "peers", func() { w.step(o, core.PeerIn{Hello: &hello}) }) })
+			}
+		}
+	case core.Log:
+		w.say("%s %s %s", n.name, v.Msg, fmt.Sprintln(v.Args...))
+	}
+}
+
+// fault carries out one trouble.
+func (w *World) fault(f Fault) {
+	n := w.nodes[f.Node%3]
+	if f.Part > 0 {
+		if h := w.holder(f.Part - 1); h != nil {
+			n = h
+		}
+	}
+	w.say("FAULT %s %s for %.1f s", f.Kind, n.name, f.ForS)
+	lasts := int64(f.ForS * float64(second))
+	cut := func(what string) {
+		n.cut[what], n.hold = true, f.Hold
+		w.after(lasts, func() {
+			n.cut[what] = false
+			held := n.held
+			n.held = nil
+			for _, do := range held {
+				do()
+			}
+		})
+	}
+	crash := func(n *node) {
+		if !n.up {
+			return
+		}
+		n.up = false
+		n.epoch++
+		w.after(max(lasts, second/5), func() {
+			if err := w.boot(n); err != nil {
+				w.check.breaks("boot", err.Error())
+			}
+		})
+	}
+	kind, arg, _ := strings.Cut(f.Kind, ":")
+	switch kind {
+	case "crash":
+		crash(n)
+	case "crash_all":
+		for _, n := range w.nodes {
+			crash(n)
+		}
+	case "cut":
+		cut(arg)
+	case "refused":
+		n.refused = true
+		w.after(lasts, func() { n.refused = false })
+	case "store_outage":
+		w.store.outage(lasts)
+	case "cloud_outage":
+		w.cloud.down = true
+		w.after(lasts, func() { w.cloud.down = false })
+	case "no_capacity":
+		w.cloud.empty = true
+		w.after(lasts, func() { w.cloud.empty = false })
+	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental":
+		w.machineFault(kind, lasts)
+	case "double_start":
+		// Not a trouble of the world but a deliberate breach, to show that
+		// the checker sees one.
+		for _, wk := range w.workers {
+			for _, t := range wk.tasks {
+				if t.on {
+					other := &worker{w: w, name: "n-rogue", typ: wk.typ, zone: wk.zone, session: 1}
+					w.check.started(other, &wtask{id: t.id, attempt: t.attempt + 1, w: other})
+					return
+				}
+			}
+		}
+	default:
+		w.check.breaks("scenario", "unknown fault "+f.Kind)
+	}
+}
+
+func (w *World) machineFault(kind string, lasts int64) {
+	if kind == "late_rental" {
+		w.cloud.rent(&wire.Rent{Request: "late", Type: w.sc.Types[0].Name, Zone: zones[0], Count: 1})
+		return
+	}
+	var busy *worker
+	for _, wk := range w.workers {
+		if wk.up && !wk.gone && !wk.hung && (kind != "spot_notice" || wk.spot) && (busy == nil || len(wk.tasks) > len(busy.tasks)) {
+			busy = wk
+		}
+	}
+	if busy == nil {
+		return
+	}
+	w.say("%s %s", kind, busy.name)
+	switch kind {
+	case "machine_die":
+		busy.die()
+	case "machine_hang":
+		busy.hung = true
+		w.after(lasts, func() { busy.resume() })
+	case "machine_sick":
+		busy.sick = true
+		w.after(lasts, func() { busy.sick = false })
+	case "spot_notice":
+		busy.noticeAt = w.now + 8*second
+		busy.changed()
+		w.after(8*second, busy.die)
+	}
+}
+
+// holder tells which node the state service names as a part's holder.
+func (w *World) holder(part int) *node {
+	v := w.store.keys[fmt.Sprintf("live/p/%d", part)]
+	for _, n := range w.nodes {
+		if v != nil && strings.Contains(string(v.value), `"`+n.name+`"`) {
+			return n
+		}
+	}
+	return nil
+}
