--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -215,6 +215,9 @@
 	free := func() {
 		for _, j := range b.jobs {
 			j.busy = false
+			// Before any machine reports: one that died first left the gang
+			// taken for one still being placed, and it waited for ever.
+			j.placing = j.placing && !j.committed()
 			if c.jobs[j.id] == j {
 				c.dirty[j.id] = true
 			}
@@ -242,6 +245,7 @@
 		for _, s := range b.chunks {
 			if c.jobs[s.j.id] == s.j {
 				c.reload(s.j, s.n)
+				s.j.placing = false
 			}
 		}
 		c.early(Second / 10)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -225,12 +225,16 @@
 	if j.nPlaced+j.nDone != j.spec.Tasks {
 		return false
 	}
+	return j.committed()
+}
+
+// committed tells whether nothing of a job waits to be committed.
+func (j *job) committed() bool {
 	for _, ch := range j.chunks {
 		if ch.gen > ch.kept {
 			return false
 		}
 	}
-	j.placing = false
 	return true
 }
 
@@ -493,12 +497,8 @@
 		return false
 	}
 	for id := range m.left {
-		if j := c.jobs[id]; j != nil && !j.over {
-			for _, ch := range j.chunks {
-				if ch.gen > ch.kept {
-					return false
-				}
-			}
+		if j := c.jobs[id]; j != nil && !j.over && !j.committed() {
+			return false
 		}
 		delete(m.left, id)
 	}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -189,9 +189,12 @@
 		waiting := c.fresh
 		c.fresh = nil
 		c.readAt = c.now + Second/25
+		began := c.now
 		c.callStore(StoreCall{Op: OpFollow, Since: c.rev, Urgent: true}, func(r *StoreReply) {
 			c.reading = false
-			ok := c.followed(r)
+			// An answer held back by the network says how things were: its
+			// asker may have been told of a cancellation elsewhere since.
+			ok := c.followed(r) && c.now < began+readAge
 			for _, f := range waiting {
 				f(ok)
 			}
@@ -209,6 +212,9 @@
 	}
 }
 
+// readAge is how old a read may be when it is told to a user.
+const readAge = Second
+
 // read calls f after a read of the state service that began after now.
 func (c *Core) read(f func(ok bool)) {
 	if !c.synced {
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -80,8 +80,11 @@
 }
 
 func (u *user) poll() {
+	final := u.final // an answer to a poll that overlaps the news may be older
 	u.through(func(req uint64) any { return core.Poll{Req: req, ID: u.id} }, func(a *core.Answer) {
-		u.w.check.polled(u, a)
+		if final == u.final {
+			u.w.check.polled(u, a)
+		}
 		if u.final == "" {
 			u.w.after(5*second, u.poll)
 			return
