A blocked job of a higher tier may ask another part to empty a machine

Cause: whole-machine gangs waited for minutes while arrays of other parts held the only machines that fit them; parts lent only idle machines.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -21,14 +21,15 @@
 	reqs *rate.Limiter
 }
 
-// New makes a client with this controller's share of the requests.
+// New makes a client. Controllers are rarely busy all at once, so each may use
+// half of the budget; a 429 is asked again.
 func New(set *settings.Settings) *Client {
-	share := set.Facts.Cloud.RPS / float64(len(set.Nodes))
+	share := set.Facts.Cloud.RPS / 2
 	return &Client{
 		http: &fasthttp.HostClient{Addr: set.Endpoints.Cloud, MaxConns: 8, ReadTimeout: 15 * time.Second,
 			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 60 * time.Second, MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize: 4 << 20},
-		reqs: rate.NewLimiter(rate.Limit(share), max(1, int(2*share))),
+		reqs: rate.NewLimiter(rate.Limit(share), max(2, int(2*share))),
 	}
 }
 
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -199,15 +199,18 @@
 			}
 			return
 		}
-		if (r.Status == 0 || r.Status == 429) && try < 4 && p.held {
+		if r.Status == 0 && try < 4 && p.held {
 			// Whether it was carried out is not known: the same name gives
 			// the same machines.
 			c.tryRent(p, k, req, try+1)
 			return
 		}
 		p.renting(c, k, -req.Count)
+		c.early(Second)
+		if r.Status == 429 {
+			return // our budget, not the cloud's room
+		}
 		c.refused[k] = c.now + c.jitter(secs(c.set.Ops.RefusalS))
 		c.info("rental refused", "part", p.idx, "kind", kindName(k).String(), "status", r.Status)
-		c.early(Second / 5)
 	})
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -450,15 +450,15 @@
 		if len(m.on) == 0 && len(m.reported) == 0 {
 			c.remove(m, "drained")
 		}
-	case m.reclaim:
+	case m.moveTo >= 0:
 		for _, id := range m.tasks() {
 			j := c.jobs[id.job]
-			if t := j.task(id.n); j.spec.CheckpointS > 0 {
-				c.leave(j, t, "borrowed machine reclaimed")
+			if t := j.task(id.n); j.spec.CheckpointS > 0 || wire.Tier(j.spec.Priority) < m.evict {
+				c.leave(j, t, "the machine goes to another part")
 			}
 		}
 		if len(m.on) == 0 && m.ready {
-			c.lend(m, m.rec.Home)
+			c.lend(m, m.moveTo)
 		}
 	case m.ready && len(m.on) == 0 && m.claim == "" && c.now > m.idleAt+secs(c.set.Ops.IdleReturnS) && c.now > m.bornAt+50*Second:
 		c.remove(m, "idle")
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -145,7 +145,8 @@
 	claimTo  int64
 	reported []wire.TaskReport
 	lendTo   int
-	reclaim  bool
+	moveTo   int // part that is to get it once it is empty; -1: none
+	evict    int // tier below which tasks make way for the move at once
 	delSent  bool
 	delOK    bool
 }
@@ -249,6 +250,11 @@
 				c.drop(key, l.rev)
 			}
 		}
+		for _, p := range c.parts {
+			if p.ver == 0 {
+				p.freeAt = c.now
+			}
+		}
 		c.relist = nil
 		c.rev = l.rev
 		c.synced = true
@@ -325,7 +331,7 @@
 			return
 		}
 		if m == nil {
-			m = &machine{name: name, on: map[taskID]bool{}, left: map[string]bool{}, bornAt: c.now, waitFrom: c.now, lendTo: -1}
+			m = &machine{name: name, on: map[taskID]bool{}, left: map[string]bool{}, bornAt: c.now, waitFrom: c.now, lendTo: -1, moveTo: -1}
 			if rec.At > 0 && rec.At < c.now {
 				m.bornAt = rec.At
 			}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -122,7 +122,7 @@
 	m.seenAt, m.waitFrom = max(m.seenAt, c.now), c.now
 	m.idleAt = c.now
 	m.delSent, m.delOK = false, false
-	m.lendTo, m.reclaim, m.busy = -1, false, false
+	m.lendTo, m.moveTo, m.busy = -1, -1, false
 }
 
 // lose stops acting for a part and throws away what was not committed.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -54,7 +54,7 @@
 		return secs(j.spec.SaveS) + secs(5)
 	}
 	if t.since == 0 {
-		return 0
+		return (c.now - t.placedAt) / 2
 	}
 	return c.now - t.since
 }
@@ -63,9 +63,7 @@
 func (c *Core) view(p *part) (*sched.View, map[string]*job) {
 	v := &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops}
 	for _, t := range c.set.Facts.Teams {
-		if c.set.TeamPart[t.Name] == p.idx {
-			v.Teams[t.Name] = &sched.Team{Used: *c.usage[t.Name], Guarantee: sched.ResOf(t.CPUs, t.GPUs, 0), Limit: sched.ResOf(t.CPUsMax, t.GPUsMax, 0)}
-		}
+		v.Teams[t.Name] = &sched.Team{Used: *c.usage[t.Name], Guarantee: sched.ResOf(t.CPUs, t.GPUs, 0), Limit: sched.ResOf(t.CPUsMax, t.GPUsMax, 0)}
 	}
 	for k, until := range c.refused {
 		if c.now < until {
@@ -98,18 +96,29 @@
 		}
 		total := sched.ResOf(m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB)
 		sm := &sched.Machine{Name: name, Type: m.typ, Zone: m.rec.Zone, Spot: m.rec.Spot, Total: total, Free: total.Add(m.used, -1), Claim: m.claim, Images: map[string]bool{}}
+		if m.claim != "" && c.now > m.claimTo {
+			m.claim, sm.Claim = "", ""
+		}
 		if m.rec.Cur != p.idx {
-			if m.rec.Home == p.idx && !c.idleAbroad(name) {
+			switch {
+			case c.idleAbroad(name):
+				sm.Borrowable, sm.ReadyAt = true, c.now+2*Second
+			case m.rec.Home == p.idx && m.claim == "":
 				// Lent out: ours again once its tasks have saved.
 				sm.Free, sm.Borrowable, sm.ReadyAt = total, true, c.now+20*Second
-				v.Machines = append(v.Machines, sm)
-			} else if c.idleAbroad(name) {
-				sm.Borrowable, sm.ReadyAt = true, c.now+2*Second
-				v.Machines = append(v.Machines, sm)
+			case len(m.on) > 0:
+				sm.Foreign, sm.ReadyAt = true, c.now+5*Second
+				if m.claim != "" {
+					sm.Free = total // it is being emptied for us
+				}
+				c.uses(sm, m, shown)
+			default:
+				continue
 			}
+			v.Machines = append(v.Machines, sm)
 			continue
 		}
-		if m.busy || m.lendTo >= 0 || m.reclaim {
+		if m.busy || m.lendTo >= 0 || m.moveTo >= 0 {
 			continue
 		}
 		for _, i := range m.images {
@@ -125,15 +134,7 @@
 		default:
 			continue
 		}
-		for _, id := range m.tasks() {
-			j := c.jobs[id.job]
-			t := j.task(id.n)
-			if sj := shown[id.job]; sj != nil {
-				sm.Uses = append(sm.Uses, sched.Use{Job: sj, Index: id.n, Need: j.need, End: c.busyFor(j, t, m), Lost: c.lostBy(j, t), Leaving: t.leaving > 0})
-			} else {
-				sm.Uses = append(sm.Uses, sched.Use{Index: -1, Need: j.need, End: c.now + 3*Second})
-			}
-		}
+		c.uses(sm, m, shown)
 		v.Machines = append(v.Machines, sm)
 	}
 	kinds := make([]sched.Kind, 0, len(p.rents))
@@ -152,6 +153,23 @@
 	return v, jobs
 }
 
+// uses shows the planner what runs on a machine.
+func (c *Core) uses(sm *sched.Machine, m *machine, shown map[string]*sched.Job) {
+	for _, id := range m.tasks() {
+		j := c.jobs[id.job]
+		t := j.task(id.n)
+		sj := shown[id.job]
+		if sj == nil && !j.cancelled {
+			sj = &sched.Job{ID: id.job, Spec: &j.spec, Need: j.need}
+		}
+		u := sched.Use{Job: sj, Index: id.n, Need: j.need, End: c.now + 3*Second}
+		if sj != nil {
+			u.End, u.Lost, u.Leaving = c.busyFor(j, t, m), c.lostBy(j, t), t.leaving > 0
+		}
+		sm.Uses = append(sm.Uses, u)
+	}
+}
+
 // waiting lists tasks that may be placed now.
 func (j *job) waiting(now int64, most int) []int {
 	var list []int
@@ -210,6 +228,10 @@
 	for _, e := range plan.Evictions {
 		m := c.machines[e.Machine.Name]
 		m.claim, m.claimTo = e.For.ID, c.now+40*Second
+		if e.Machine.Foreign {
+			c.info("machine asked for", "for", e.For.ID, "machine", m.name, "part", m.rec.Cur, "tasks", len(e.Uses))
+			continue
+		}
 		c.info("room made", "for", e.For.ID, "machine", m.name, "tasks", len(e.Uses))
 		for _, u := range e.Uses {
 			j := c.jobs[u.Job.ID]
@@ -223,7 +245,13 @@
 		rec := c.machines[m.Name].rec
 		c.asks = append(c.asks, peer.Ask{Machine: m.Name, Part: p.idx, Reclaim: rec.Home == p.idx})
 	}
-	if len(plan.Borrow) > 0 {
+	for _, name := range sorted(c.machines) {
+		// Asked again until it comes: a message may be lost.
+		if m := c.machines[name]; m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
+			c.asks = append(c.asks, peer.Ask{Machine: name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority)})
+		}
+	}
+	if len(c.asks) > 0 {
 		c.helloAt = c.now
 		c.heed(c.asks)
 	}
@@ -255,7 +283,7 @@
 
 func (c *Core) lendable(m *machine) bool {
 	return c.ours(m) != nil && m.ready && c.emptied(m) && len(m.reported) == 0 && !m.busy && !m.rec.Gone && !m.sick &&
-		m.notice == 0 && m.claim == "" && c.now < m.seenAt+8*Second
+		m.notice == 0 && !c.claimed(m) && c.now < m.seenAt+8*Second
 }
 
 // idleAbroad tells whether a machine of another part may be borrowed.
@@ -279,13 +307,34 @@
 		if m == nil || c.ours(m) == nil || m.rec.Cur == a.Part || a.Part < 0 || a.Part >= len(c.parts) {
 			continue
 		}
-		if c.lendable(m) {
+		switch {
+		case c.lendable(m):
 			c.lend(m, a.Part)
-		} else if a.Reclaim && m.rec.Home == a.Part && !m.reclaim && m.upAt > 0 {
+		case m.moveTo >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
+		case a.Reclaim && m.rec.Home == a.Part:
 			c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
-			m.reclaim = true
+			m.moveTo, m.evict = a.Part, 0
+		case a.Tier > 0 && c.allBelow(m, a.Tier):
+			c.info("machine yielded", "machine", m.name, "to", a.Part, "tasks", len(m.on), "tier", a.Tier)
+			m.moveTo, m.evict = a.Part, a.Tier
+		}
+	}
+}
+
+// claimed tells whether a job of the machine's own part has a claim on it.
+func (c *Core) claimed(m *machine) bool {
+	j := c.jobs[m.claim]
+	return j != nil && j.part == m.rec.Cur
+}
+
+// allBelow tells whether all of a machine's tasks are below a tier.
+func (c *Core) allBelow(m *machine, tier int) bool {
+	for id := range m.on {
+		if wire.Tier(c.jobs[id.job].spec.Priority) >= tier {
+			return false
 		}
 	}
+	return true
 }
 
 // sayHello tells the other controllers how we are and what we want.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,12 +15,13 @@
 	Machine string
 }
 
-// Ask wants a machine moved to a part: an idle one borrowed, or a home
-// machine reclaimed.
+// Ask wants a machine moved to a part: an idle one borrowed, a home machine
+// reclaimed, or one whose tasks are all of a tier below Tier.
 type Ask struct {
 	Machine string
 	Part    int
 	Reclaim bool
+	Tier    int
 }
 
 // Hello is sent to every other controller about once a second. It says
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,7 @@
 	Usable     bool  // may be given tasks now
 	ReadyAt    int64 // of a booting machine: when it is expected
 	Borrowable bool  // another part's idle machine: may be asked for
+	Foreign    bool  // another part's, at work: may be asked for if all its tasks may be stopped
 	Claim      string
 	Images     map[string]bool
 	Uses       []Use
@@ -273,7 +274,7 @@
 
 // usable tells whether the machine may take a task of the job now.
 func (p *planner) usable(j *Job, m *Machine) bool {
-	if !m.Usable || m.Borrowable || j.Avoid[m.Name] || !m.Free.Fits(j.Need) ||
+	if !m.Usable || m.Borrowable || m.Foreign || j.Avoid[m.Name] || !m.Free.Fits(j.Need) ||
 		!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) || (m.Claim != "" && m.Claim != j.ID) {
 		return false
 	}
@@ -484,7 +485,7 @@
 	}
 	var slots []slot
 	for _, m := range p.Machines {
-		if m.Borrowable || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || (m.Claim != "" && m.Claim != j.ID) ||
+		if m.Borrowable || m.Foreign || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || (m.Claim != "" && m.Claim != j.ID) ||
 			!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 			continue
 		}
@@ -547,7 +548,7 @@
 		claimed := false
 		for _, m := range p.Machines {
 			claimed = claimed || m.Claim == j.ID
-			if !m.Borrowable && !taken[m] && (m.Claim == "" || m.Claim == j.ID) && Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) && !j.Avoid[m.Name] {
+			if !m.Borrowable && !m.Foreign && !taken[m] && (m.Claim == "" || m.Claim == j.ID) && Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) && !j.Avoid[m.Name] {
 				soon = min(soon, m.freeAt(j.Need, p.Now))
 			}
 		}
@@ -558,7 +559,7 @@
 		var victims []Use
 		var least int64 = math.MaxInt64
 		for _, m := range p.Machines {
-			if !m.Usable || m.Borrowable || m.Claim != "" || taken[m] || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 ||
+			if !m.Usable && !m.Foreign || m.Borrowable || m.Claim != "" || taken[m] || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 ||
 				!m.Total.Fits(j.Need) || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 				continue
 			}
@@ -567,7 +568,7 @@
 			free, lost := m.Free, int64(0)
 			var set []Use
 			for _, u := range uses {
-				if free.Fits(j.Need) {
+				if free.Fits(j.Need) && !m.Foreign {
 					break
 				}
 				if u.Leaving || p.mayStop(j, u) {
@@ -576,6 +577,12 @@
 					set = append(set, u)
 				}
 			}
+			if m.Foreign {
+				if len(set) < len(uses) {
+					continue // it moves only empty
+				}
+				lost += 5 * Second
+			}
 			if free.Fits(j.Need) && lost < least {
 				best, victims, least = m, set, lost
 			}
@@ -656,7 +663,7 @@
 	var best *Machine
 	var at int64 = math.MaxInt64
 	for _, m := range ms {
-		if m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+		if m.Foreign && m.Claim != j.ID || m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 			continue
 		}
 		if t := m.freeAt(j.Need, p.Now); t < at {
