Reclaim only into a guarantee or from a far larger part

Cause: with every part overloaded, home jobs reclaimed machines in circles: 133 reclaims and 594 stopped tasks on trazo steady.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -89,6 +89,12 @@
 		jobs[id], shown[id] = j, sj
 		v.Jobs = append(v.Jobs, sj)
 	}
+	used := make([]float64, len(c.parts)) // money's worth of machines
+	for _, m := range c.machines {
+		if m.typ != nil && m.rec.Cur >= 0 && m.rec.Cur < len(used) && !m.rec.Gone {
+			used[m.rec.Cur] += m.typ.Price
+		}
+	}
 	for _, name := range sorted(c.machines) {
 		m := c.machines[name]
 		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 {
@@ -106,6 +112,7 @@
 			case m.rec.Home == p.idx && m.claim == "":
 				// Lent out: ours again once its tasks have saved.
 				sm.Free, sm.Borrowable, sm.ReadyAt = total, true, c.now+20*Second
+				sm.Lent, sm.Fair = true, 2*used[p.idx] < used[m.rec.Cur]
 			case len(m.on) > 0:
 				sm.Foreign, sm.ReadyAt = true, c.now+5*Second
 				if m.claim != "" {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -65,6 +65,8 @@
 	ReadyAt    int64 // of a booting machine: when it is expected
 	Borrowable bool  // another part's idle machine: may be asked for
 	Foreign    bool  // another part's, at work: may be asked for if all its tasks may be stopped
+	Lent       bool  // ours by home, at work for another part
+	Fair       bool  // of a Lent one: its borrower uses far more than we do
 	Claim      string
 	Images     map[string]bool
 	Uses       []Use
@@ -521,6 +523,11 @@
 	return mine != nil && theirs != nil && mine != theirs && mine.inGuarantee(j.Need, int64(j.Pending)) && theirs.beyond()
 }
 
+func (p *planner) guaranteed(j *Job) bool {
+	t := p.Teams[j.Spec.Team]
+	return t != nil && t.inGuarantee(j.Need, int64(j.blocked))
+}
+
 func (t *Team) inGuarantee(need Res, n int64) bool {
 	g := t.Guarantee
 	if g.CPU == 0 && g.GPU == 0 {
@@ -663,6 +670,11 @@
 	var best *Machine
 	var at int64 = math.MaxInt64
 	for _, m := range ms {
+		// Exception: home jobs that wait do not always reclaim. Where all parts
+		// are overloaded it only moved machines, and their work, in circles.
+		if m.Lent && !m.Fair && !p.guaranteed(j) {
+			continue
+		}
 		if m.Foreign && m.Claim != j.ID || m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 			continue
 		}
