Start tasks directly once their intent is committed

A start without an answer counts as under way until a higher token outdoes it; the machine's record is rewritten for that.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -227,6 +227,13 @@
 		for _, s := range b.chunks {
 			ch := s.j.chunks[s.n]
 			ch.kept = max(ch.kept, s.gen)
+			for i := range ch.tasks {
+				if t := &ch.tasks[i]; t.state == placed && !t.shown && t.pushed == 0 {
+					if m := c.machines[t.machine]; m != nil {
+						m.pushAt = min(m.pushAt, c.now) // start it without waiting for a report
+					}
+				}
+			}
 			if ch.ver < rev {
 				ch.ver, ch.raw = rev, s.raw
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,7 @@
 	Pushed struct {
 		Machine string
 		Token   uint64
+		Starts  bool
 		Status  int
 		Report  *wire.Report
 	}
@@ -111,6 +112,7 @@
 	Push struct {
 		Machine string
 		Addr    string
+		Starts  bool // it starts tasks
 		Body    wire.Push
 	}
 	// Tell sends a message to every other controller.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -79,6 +79,18 @@
 	}
 	m.pushing = false
 	p := c.ours(m)
+	if p != nil && v.Status == 0 && v.Starts {
+		// The start may be carried out minutes late. A higher token, once
+		// the worker has seen it, makes that impossible.
+		m.doubt = true
+	}
+	if p != nil && v.Status == 409 {
+		for _, id := range m.tasks() { // nothing was carried out
+			if t := c.jobs[id.job].task(id.n); t.pushed == v.Token {
+				t.pushed = 0
+			}
+		}
+	}
 	if p == nil || v.Report == nil || v.Report.Machine != m.name || (v.Status != 200 && v.Status != 409) || !m.newer(v.Report) {
 		return
 	}
@@ -94,17 +106,13 @@
 }
 
 // push sends direct commands; none at all still raise the worker's token.
-// Starts never go this way: a copy held back by the network could be carried
-// out long after its attempt was forgotten.
 func (c *Core) push(m *machine, cmds []wire.Command) {
-	if m.addr == "" {
-		return
-	}
 	m.pushing = true
 	if cmds == nil {
 		cmds = []wire.Command{}
 	}
-	c.emit(Push{Machine: m.name, Addr: m.addr, Body: wire.Push{Token: c.tokenOf(m), Session: max(1, m.session), Commands: cmds}})
+	c.emit(Push{Machine: m.name, Addr: m.addr, Starts: slices.ContainsFunc(cmds, func(o wire.Command) bool { return o.Op == wire.Start }),
+		Body: wire.Push{Token: c.tokenOf(m), Session: max(1, m.session), Commands: cmds}})
 }
 
 // maxOrders keeps an answer's one line below 64 KiB.
@@ -124,6 +132,9 @@
 	if r.Session > m.session {
 		m.images = nil
 		m.session = r.Session
+		for id := range m.on { // direct starts name the session
+			c.jobs[id.job].task(id.n).pushed = 0
+		}
 	}
 	m.seq, m.seenAt, m.reported = r.Seq, c.now, r.Tasks
 	if m.upAt == 0 {
@@ -194,9 +205,12 @@
 		t := j.task(id.n)
 		switch {
 		case !viaReport || !j.durable(id.n) || j.part != m.rec.Cur:
+		case !t.shown && t.pushed >= r.Token && c.mustStop(j, t):
+			// A direct start may still come; it counts as here until then.
 		case t.shown || c.mustStop(j, t):
 			c.gone(j, id.n, "no longer reported")
-		case m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j)):
+		case c.mayStart(m, j) && (t.pushed == 0 || t.pushed < r.Token):
+			// Not while a direct copy may come after this one was forgotten.
 			order(wire.Start, id, t.attempt, nil)
 		}
 	}
@@ -346,11 +360,22 @@
 	}
 }
 
-// stops lists the commands for tasks here that must stop and have not begun to.
-func (c *Core) stops(m *machine) []wire.Command {
+// mayStart tells whether a job's committed tasks here may be started.
+func (c *Core) mayStart(m *machine, j *job) bool {
+	return m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j))
+}
+
+// direct lists the commands worth sending at once: stops of tasks that must
+// stop and have not begun to, and the first start of each task.
+func (c *Core) direct(m *machine) []wire.Command {
 	var cmds []wire.Command
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
+		if t := j.task(id.n); !t.shown && t.pushed == 0 && j.part == m.rec.Cur && !c.mustStop(j, t) && j.durable(id.n) && c.mayStart(m, j) && len(cmds) < maxOrders {
+			t.pushed = c.tokenOf(m)
+			cmds = append(cmds, wire.Command{Op: wire.Start, Task: id.String(), Attempt: t.attempt})
+			continue
+		}
 		if t := j.task(id.n); t.shown && t.reported != wire.Saving && c.mustStop(j, t) && len(cmds) < maxOrders {
 			g := c.graceOf(j, t)
 			cmds = append(cmds, wire.Command{Op: wire.Stop, Task: id.String(), Attempt: t.attempt, GraceS: &g})
@@ -377,7 +402,10 @@
 		}
 		if m.pushAt <= c.now && !m.pushing && c.answers(p) {
 			m.pushAt = c.now + 2*Second
-			if cmds := c.stops(m); !m.ready || cmds != nil {
+			if m.addr == "" || m.busy {
+				continue
+			}
+			if cmds := c.direct(m); !m.ready || cmds != nil {
 				c.push(m, cmds)
 			}
 		}
@@ -431,6 +459,10 @@
 		}
 		return
 	}
+	if m.doubt && !m.busy {
+		m.doubt = false
+		c.putMachine(m, m.rec)
+	}
 	boot := 60.0
 	if m.typ != nil {
 		boot = m.typ.BootS
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -79,7 +79,8 @@
 	placedAt int64
 	leaving  int64 // told to stop since
 	grace    float64
-	holdOff  int64 // not to be placed before
+	holdOff  int64  // not to be placed before
+	pushed   uint64 // token of a direct start that may still be on its way
 }
 
 type chunk struct {
@@ -145,8 +146,9 @@
 	claimTo  int64
 	reported []wire.TaskReport
 	lendTo   int
-	moveTo   int // part that is to get it once it is empty; -1: none
-	evict    int // tier below which tasks make way for the move at once
+	doubt    bool // a direct start had no answer: its token must be outdone
+	moveTo   int  // part that is to get it once it is empty; -1: none
+	evict    int  // tier below which tasks make way for the move at once
 	delSent  bool
 	delOK    bool
 }
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -119,10 +119,13 @@
 }
 
 func (wk *worker) tick() {
-	if wk.gone || wk.hung {
+	if wk.gone {
+		return
+	}
+	wk.expire() // a hang does not outlast the lease: docs/questions.md
+	if wk.hung {
 		return
 	}
-	wk.expire()
 	if wk.asking == 0 && wk.w.now >= wk.nextAt {
 		wk.send()
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -225,7 +225,7 @@
 		w.after(3*second, func() {
 			if !answered {
 				answered = true
-				back(core.Pushed{Machine: v.Machine, Token: v.Body.Token})
+				back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts})
 			}
 		})
 		w.carry(n, "workers", func() {
@@ -238,7 +238,7 @@
 				w.carry(n, "workers", func() {
 					if !answered {
 						answered = true
-						back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Status: status, Report: rep})
+						back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts, Status: status, Report: rep})
 					}
 				})
 			})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -182,7 +182,7 @@
 
 // push sends direct commands; a worker that hangs holds one of few places.
 func (s *Server) push(p core.Push) {
-	out := core.Pushed{Machine: p.Machine, Token: p.Body.Token}
+	out := core.Pushed{Machine: p.Machine, Token: p.Body.Token, Starts: p.Starts}
 	defer func() { s.feed(out) }()
 	select {
 	case s.pushes <- struct{}{}:
