--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -690,8 +690,8 @@
 func (p *planner) cheapest(j *Job, n int) (Kind, *wire.MachineType) {
 	var best Kind
 	var typ *wire.MachineType
-	least := math.Inf(1)
-	held := map[Kind]int{}
+	least, floor := math.Inf(1), math.Inf(1)
+	held, perTask := map[Kind]int{}, map[Kind]float64{}
 	for _, m := range p.Machines {
 		held[Kind{m.Type.Name, m.Zone, m.Spot}]++
 	}
@@ -704,13 +704,18 @@
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Name, z, spot}
-				if !Allowed(j.Spec, t.Name, z, spot) || p.Refused[k] || j.perZone(z) <= 0 {
+				if !Allowed(j.Spec, t.Name, z, spot) || j.perZone(z) <= 0 {
 					continue
 				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice * 1.1 // some of the work is lost with a taken machine
 				}
+				perTask[k] = price / float64(fit)
+				floor = min(floor, perTask[k])
+				if p.Refused[k] {
+					continue
+				}
 				overhead := (t.BootS + float64(p.fetch(j, t))/float64(Second) + j.Spec.EstimateS) / max(1, j.Spec.EstimateS)
 				cost := price*overhead/float64(min(fit, n)) + float64(held[k])*1e-6
 				if cost < least {
@@ -719,5 +724,10 @@
 			}
 		}
 	}
+	// Dear kinds are for those that have waited long.
+	ceiling := p.Ops.PriceCeiling * (1 + float64(p.Now-j.At)/float64(Second)/p.Ops.CeilingGrowthS)
+	if typ != nil && perTask[best] > ceiling*floor {
+		return best, nil
+	}
 	return best, typ
 }
