--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -6,6 +6,7 @@
 
 	"spurmoor/internal/peer"
 	"spurmoor/internal/sched"
+	"spurmoor/internal/settings"
 	"spurmoor/internal/wire"
 )
 
@@ -61,7 +62,10 @@
 
 // view shows a part to the planner.
 func (c *Core) view(p *part) (*sched.View, map[string]*job) {
-	v := &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops}
+	v := &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops, Aims: map[string][]settings.Objective{}}
+	for _, o := range c.set.Facts.Objectives {
+		v.Aims[o.Class] = append(v.Aims[o.Class], o)
+	}
 	for _, t := range c.set.Facts.Teams {
 		v.Teams[t.Name] = &sched.Team{Used: *c.usage[t.Name], Guarantee: sched.ResOf(t.CPUs, t.GPUs, 0), Limit: sched.ResOf(t.CPUsMax, t.GPUsMax, 0)}
 	}
@@ -79,7 +83,7 @@
 		if j.part != p.idx || j.over || j.cancelled {
 			continue
 		}
-		sj := &sched.Job{ID: id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: j.suspect}
+		sj := &sched.Job{ID: id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: j.suspect, Begun: j.nPlaced+j.nDone > 0}
 		for z, n := range j.zones {
 			sj.InZone[z] = n
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -82,6 +82,7 @@
 	Pending  int   // tasks to place, those held back by a back-off not counted
 	InZone   map[string]int
 	Avoid    map[string]bool // machines
+	Begun    bool            // some of its tasks were started
 	Deprior  bool            // failing everywhere: it must not take room first
 	score    float64
 	blocked  int
@@ -110,6 +111,7 @@
 	Refused  map[Kind]bool
 	Ops      *settings.Operators
 	NoRent   bool
+	Aims     map[string][]settings.Objective // by class
 }
 
 // Start puts one task of a job on a machine.
@@ -248,6 +250,7 @@
 		}
 		j.score = w.Priority*float64(wire.Tier(j.Spec.Priority)) + w.Wait*wait + w.Deficit*deficit +
 			w.ZoneFit*fit + w.Readiness*readiness + w.Backlog*backlog
+		j.score -= p.Ops.LatePenalty * p.outOfReach(j)
 		if j.Deprior {
 			// Exception: a high-tier job that fails on every machine would
 			// top each cycle and take room first.
@@ -259,6 +262,33 @@
 	})
 }
 
+// outOfReach is the share of the stated aims of the job's class that it can
+// no longer meet. Exception: in an overload, wait alone would rank first those
+// that are late already, and so make everyone late.
+func (p *planner) outOfReach(j *Job) float64 {
+	aims := p.Aims[j.Spec.Class]
+	if len(aims) == 0 || j.Spec.EstimateS <= 0 {
+		return 0
+	}
+	age := float64(p.Now-j.At) / float64(Second)
+	lost := 0
+	for _, a := range aims {
+		late := false
+		switch a.Kind {
+		case "wait":
+			late = !j.Begun && age > a.WithinS
+		case "finished":
+			late = age+j.Spec.EstimateS > a.WithinS
+		case "deadline":
+			late = j.Spec.DeadlineS > 0 && age+j.Spec.EstimateS > a.Times*j.Spec.DeadlineS
+		}
+		if late {
+			lost++
+		}
+	}
+	return float64(lost) / float64(len(aims))
+}
+
 // perZone is how many more of the job's tasks a zone may take.
 func (j *Job) perZone(zone string) int {
 	if j.Spec.OneZone {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,7 @@
 	HoldTTLS       float64 `toml:"hold_ttl_s"`
 	RefusalS       float64 `toml:"refusal_memory_s"`
 	QueueJobs      int     `toml:"queue_jobs"`
+	LatePenalty    float64 `toml:"late_penalty"`     // off the score of a job whose aims are all out of reach
 	PriceCeiling   float64 `toml:"price_ceiling"`    // times the cheapest kind that a job may use
 	CeilingGrowthS float64 `toml:"ceiling_growth_s"` // wait after which the ceiling has doubled
 	Weights        Weights `toml:"weights"`
@@ -124,7 +125,7 @@
 func Defaults() Operators {
 	return Operators{
 		CycleS: 5, ReferenceWaitS: 60, IdleReturnS: 30, SilentS: 12, HoldTTLS: 6,
-		RefusalS: 15, QueueJobs: 4000, PriceCeiling: 2.5, CeilingGrowthS: 300,
+		RefusalS: 15, QueueJobs: 4000, LatePenalty: 0.6, PriceCeiling: 2.5, CeilingGrowthS: 300,
 		Weights: Weights{Priority: 0.20, Wait: 0.20, Deficit: 0.20, ZoneFit: 0.15, Readiness: 0.10, Backlog: 0.05},
 	}
 }
@@ -176,6 +177,7 @@
 		{"hold_ttl_s", ops.HoldTTLS, 2, 60},
 		{"refusal_memory_s", ops.RefusalS, 1, 600},
 		{"queue_jobs", float64(ops.QueueJobs), 10, 1e6},
+		{"late_penalty", ops.LatePenalty, 0, 10},
 		{"price_ceiling", ops.PriceCeiling, 1, 1000},
 		{"ceiling_growth_s", ops.CeilingGrowthS, 1, 86400},
 		{"weights.priority", ops.Weights.Priority, 0, 1},
