--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,7 +125,7 @@
 func Defaults() Operators {
 	return Operators{
 		CycleS: 5, ReferenceWaitS: 60, IdleReturnS: 30, SilentS: 12, HoldTTLS: 6,
-		RefusalS: 15, QueueJobs: 4000, LatePenalty: 0.6, PriceCeiling: 2.5, CeilingGrowthS: 300,
+		RefusalS: 15, QueueJobs: 4000, LatePenalty: 0.6, PriceCeiling: 2.5, CeilingGrowthS: 900,
 		Weights: Weights{Priority: 0.20, Wait: 0.20, Deficit: 0.20, ZoneFit: 0.15, Readiness: 0.10, Backlog: 0.05},
 	}
 }
