Of equally cheap kinds rent one that the plan asks for already

Cause: spreading each rental over zones took a request a machine, and the cloud admits two a second.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -648,7 +648,7 @@
 				return
 			}
 			m, at := p.soonest(j, virtual)
-			kind, typ := p.cheapest(j, n)
+			kind, typ := p.cheapest(j, n, rent)
 			boot := int64(math.MaxInt64)
 			if typ != nil {
 				boot = p.Now + int64(typ.BootS*float64(Second))
@@ -717,7 +717,7 @@
 
 // cheapest chooses what to rent: the lowest price for each task that the
 // machine would hold of this demand.
-func (p *planner) cheapest(j *Job, n int) (Kind, *wire.MachineType) {
+func (p *planner) cheapest(j *Job, n int, asked map[Kind]int) (Kind, *wire.MachineType) {
 	var best Kind
 	var typ *wire.MachineType
 	least, floor := math.Inf(1), math.Inf(1)
@@ -747,7 +747,11 @@
 					continue
 				}
 				overhead := (t.BootS + float64(p.fetch(j, t))/float64(Second) + j.Spec.EstimateS) / max(1, j.Spec.EstimateS)
+				// Of equals, one that this plan rents already: fewer requests.
 				cost := price*overhead/float64(min(fit, n)) + float64(held[k])*1e-6
+				if asked[k] > 0 {
+					cost -= 1e-3
+				}
 				if cost < least {
 					best, typ, least = k, t, cost
 				}
