Stop others' work only as the preemption rules permit; reclaimed machines drain

Cause: reclaiming stopped gangs of equal tier a fraction of a second after their start, and teams were stopped below their own guarantee.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -188,6 +188,7 @@
 			m.fetched(j.spec.Image, j.spec.ImageGB)
 			if tr.State == wire.Running {
 				t.since = c.now
+				c.log(-4, "task running", "task", tr.Task, "machine", m.name, "after_s", (c.now-t.placedAt)/Second)
 			}
 		}
 		t.reported = tr.State
@@ -485,7 +486,7 @@
 	case m.moveTo >= 0:
 		for _, id := range m.tasks() {
 			j := c.jobs[id.job]
-			if t := j.task(id.n); j.spec.CheckpointS > 0 || wire.Tier(j.spec.Priority) < m.evict {
+			if t := j.task(id.n); m.evict {
 				c.leave(j, t, "the machine goes to another part")
 			}
 		}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -148,7 +148,8 @@
 	lendTo   int
 	doubt    bool // a direct start had no answer: its token must be outdone
 	moveTo   int  // part that is to get it once it is empty; -1: none
-	evict    int  // tier below which tasks make way for the move at once
+	evict    bool // its tasks are stopped for the move
+	claimG   bool // the claim is by a guarantee
 	delSent  bool
 	delOK    bool
 }
@@ -366,6 +367,7 @@
 			j = &job{id: id, chunks: map[int]*chunk{}, avoid: map[string]bool{}, zones: map[string]int{},
 				need: sched.ResOf(rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB), part: c.set.TeamPart[rec.Spec.Team]}
 			c.jobs[id] = j
+			c.log(-4, "job seen", "job", id, "kind", rec.Spec.Kind, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "part", j.part)
 		}
 		j.spec, j.at, j.cancelled, j.ver = rec.Spec, rec.At, rec.Cancelled, ver
 		c.dirty[id] = true
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -67,7 +67,7 @@
 		v.Aims[o.Class] = append(v.Aims[o.Class], o)
 	}
 	for _, t := range c.set.Facts.Teams {
-		v.Teams[t.Name] = &sched.Team{Used: *c.usage[t.Name], Guarantee: sched.ResOf(t.CPUs, t.GPUs, 0), Limit: sched.ResOf(t.CPUsMax, t.GPUsMax, 0)}
+		v.Teams[t.Name] = c.team(t.Name)
 	}
 	for k, until := range c.refused {
 		if c.now < until {
@@ -114,9 +114,13 @@
 			case c.idleAbroad(name):
 				sm.Borrowable, sm.ReadyAt = true, c.now+2*Second
 			case m.rec.Home == p.idx && m.claim == "":
-				// Lent out: ours again once its tasks have saved.
-				sm.Free, sm.Borrowable, sm.ReadyAt = total, true, c.now+20*Second
-				sm.Lent, sm.Fair = true, 2*used[p.idx] < used[m.rec.Cur]
+				// Lent out: ours again once its tasks have ended.
+				c.uses(sm, m, shown)
+				sm.ReadyAt = c.now + 2*Second
+				for _, u := range sm.Uses {
+					sm.ReadyAt = max(sm.ReadyAt, u.End)
+				}
+				sm.Foreign, sm.Lent, sm.Fair = true, true, 2*used[p.idx] < used[m.rec.Cur]
 			case len(m.on) > 0:
 				sm.Foreign, sm.ReadyAt = true, c.now+5*Second
 				if m.claim != "" {
@@ -231,6 +235,7 @@
 			}
 		}
 		c.change(j, n, placed, attempt, s.Machine.Name)
+		c.log(-4, "task placed", "job", j.id, "task", n, "attempt", attempt, "machine", s.Machine.Name, "waited_s", (c.now-j.at)/Second)
 		if m := c.machines[s.Machine.Name]; m.claim == j.id {
 			m.claim = ""
 		}
@@ -238,7 +243,7 @@
 	}
 	for _, e := range plan.Evictions {
 		m := c.machines[e.Machine.Name]
-		m.claim, m.claimTo = e.For.ID, c.now+40*Second
+		m.claim, m.claimTo, m.claimG = e.For.ID, c.now+40*Second, e.Guaranteed
 		if e.Machine.Foreign {
 			c.info("machine asked for", "for", e.For.ID, "machine", m.name, "part", m.rec.Cur, "tasks", len(e.Uses))
 			continue
@@ -259,7 +264,7 @@
 	for _, name := range sorted(c.machines) {
 		// Asked again until it comes: a message may be lost.
 		if m := c.machines[name]; m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
-			c.asks = append(c.asks, peer.Ask{Machine: name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority)})
+			c.asks = append(c.asks, peer.Ask{Machine: name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Guaranteed: m.claimG})
 		}
 	}
 	if len(c.asks) > 0 {
@@ -324,10 +329,10 @@
 		case m.moveTo >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
 		case a.Reclaim && m.rec.Home == a.Part:
 			c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
-			m.moveTo, m.evict = a.Part, 0
-		case a.Tier > 0 && c.allBelow(m, a.Tier):
-			c.info("machine yielded", "machine", m.name, "to", a.Part, "tasks", len(m.on), "tier", a.Tier)
-			m.moveTo, m.evict = a.Part, a.Tier
+			m.moveTo, m.evict = a.Part, false
+		case a.Tier > 0 && c.mayEmpty(m, a):
+			c.info("machine yielded", "machine", m.name, "to", a.Part, "tasks", len(m.on), "tier", a.Tier, "guaranteed", a.Guaranteed)
+			m.moveTo, m.evict = a.Part, true
 		}
 	}
 }
@@ -338,16 +343,34 @@
 	return j != nil && j.part == m.rec.Cur
 }
 
-// allBelow tells whether all of a machine's tasks are below a tier.
-func (c *Core) allBelow(m *machine, tier int) bool {
-	for id := range m.on {
-		if wire.Tier(c.jobs[id.job].spec.Priority) >= tier {
+// mayEmpty tells whether PROTOCOL's preemption permits stopping all of a
+// machine's tasks for what asks: they are of a lower tier, or their teams keep
+// their guarantees without them and the asker's is within its own.
+func (c *Core) mayEmpty(m *machine, a peer.Ask) bool {
+	without := map[string]sched.Res{}
+	for _, id := range m.tasks() {
+		j := c.jobs[id.job]
+		if wire.Tier(j.spec.Priority) < a.Tier {
+			continue
+		}
+		without[j.spec.Team] = without[j.spec.Team].Add(j.need, 1)
+		if team := c.team(j.spec.Team); !a.Guaranteed || !team.Beyond(without[j.spec.Team]) {
 			return false
 		}
 	}
 	return true
 }
 
+// team shows a team to the planner.
+func (c *Core) team(name string) *sched.Team {
+	for _, t := range c.set.Facts.Teams {
+		if t.Name == name {
+			return &sched.Team{Used: *c.usage[name], Guarantee: sched.ResOf(t.CPUs, t.GPUs, 0), Limit: sched.ResOf(t.CPUsMax, t.GPUsMax, 0)}
+		}
+	}
+	return &sched.Team{}
+}
+
 // sayHello tells the other controllers how we are and what we want.
 func (c *Core) sayHello() {
 	if c.now < c.helloAt {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,12 +16,14 @@
 }
 
 // Ask wants a machine moved to a part: an idle one borrowed, a home machine
-// reclaimed, or one whose tasks are all of a tier below Tier.
+// reclaimed as its tasks end, or one all of whose tasks may be stopped for a
+// job of this tier, within its team's guarantee or not.
 type Ask struct {
-	Machine string
-	Part    int
-	Reclaim bool
-	Tier    int
+	Machine    string
+	Part       int
+	Reclaim    bool
+	Tier       int
+	Guaranteed bool
 }
 
 // Hello is sent to every other controller about once a second. It says
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -122,9 +122,10 @@
 
 // Eviction stops tasks so that a job gets their machine.
 type Eviction struct {
-	For     *Job
-	Machine *Machine
-	Uses    []Use
+	For        *Job
+	Machine    *Machine
+	Uses       []Use
+	Guaranteed bool // its team has a claim to it by its guarantee
 }
 
 // Rental is a demand for machines.
@@ -550,7 +551,7 @@
 		return true
 	}
 	mine, theirs := p.Teams[j.Spec.Team], p.Teams[u.Job.Spec.Team]
-	return mine != nil && theirs != nil && mine != theirs && mine.inGuarantee(j.Need, int64(j.Pending)) && theirs.beyond()
+	return mine != nil && theirs != nil && mine != theirs && mine.inGuarantee(j.Need, int64(j.Pending)) && theirs.Beyond(u.Need)
 }
 
 func (p *planner) guaranteed(j *Job) bool {
@@ -567,9 +568,13 @@
 	return (g.CPU == 0 || u.CPU <= g.CPU) && (g.GPU == 0 || u.GPU <= g.GPU)
 }
 
-func (t *Team) beyond() bool {
+// Beyond tells whether a team has its whole guarantee even without need.
+func (t *Team) Beyond(need Res) bool {
 	g := t.Guarantee
-	return g.CPU > 0 && t.Used.CPU > g.CPU || g.GPU > 0 && t.Used.GPU > g.GPU
+	if g.CPU == 0 && g.GPU == 0 {
+		return false
+	}
+	return (g.CPU == 0 || t.Used.CPU-need.CPU >= g.CPU) && (g.GPU == 0 || t.Used.GPU-need.GPU >= g.GPU)
 }
 
 // evict stops tasks for blocked jobs that need one machine: the machine whose
@@ -627,7 +632,7 @@
 		if best != nil {
 			taken[best] = true
 			done++
-			p.plan.Evictions = append(p.plan.Evictions, Eviction{j, best, victims})
+			p.plan.Evictions = append(p.plan.Evictions, Eviction{j, best, victims, p.guaranteed(j)})
 		}
 	}
 }
@@ -654,7 +659,7 @@
 				boot = p.Now + int64(typ.BootS*float64(Second))
 			}
 			if m != nil && (typ == nil || at <= boot || p.meets(j, m, at)) {
-				if m.Borrowable && !slices.Contains(p.plan.Borrow, m) {
+				if (m.Borrowable || m.Lent) && !slices.Contains(p.plan.Borrow, m) {
 					p.plan.Borrow = append(p.plan.Borrow, m)
 				}
 				m.Free = m.Free.Add(j.Need, -1)
@@ -700,15 +705,21 @@
 	var best *Machine
 	var at int64 = math.MaxInt64
 	for _, m := range ms {
-		// Exception: home jobs that wait do not always reclaim. Where all parts
-		// are overloaded it only moved machines, and their work, in circles.
+		// Exception: home jobs that wait do not always reclaim, and a borrower's
+		// work is stopped for them only where PROTOCOL's preemption permits it;
+		// else the machine comes back as its tasks end. Where all parts are
+		// overloaded it only moved machines, and their work, in circles.
 		if m.Lent && !m.Fair && !p.guaranteed(j) {
 			continue
 		}
-		if m.Foreign && m.Claim != j.ID || m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+		if m.Foreign && !m.Lent && m.Claim != j.ID || m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 			continue
 		}
-		if t := m.freeAt(j.Need, p.Now); t < at {
+		t := m.freeAt(j.Need, p.Now)
+		if m.Lent && t < math.MaxInt64 {
+			t = max(t, m.ReadyAt)
+		}
+		if t < at {
 			best, at = m, t
 		}
 	}
