--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -635,6 +635,11 @@
 				best, victims, least = m, set, lost
 			}
 		}
+		if best != nil && least > soon-p.Now && slices.ContainsFunc(victims, func(u Use) bool {
+			return wire.Tier(u.Job.Spec.Priority) >= wire.Tier(j.Spec.Priority)
+		}) {
+			continue // more work would be lost than wait saved
+		}
 		if best != nil {
 			taken[best] = true
 			done++
