--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -290,7 +290,7 @@
 func (c *Core) idle() []peer.Idle {
 	var list []peer.Idle
 	for _, name := range sorted(c.machines) {
-		if m := c.machines[name]; c.lendable(m) && c.now > m.idleAt+3*Second/2 {
+		if m := c.machines[name]; c.lendable(m) && c.now > m.idleAt+Second/3 {
 			list = append(list, peer.Idle{Machine: name})
 		}
 	}
@@ -306,7 +306,7 @@
 func (c *Core) idleAbroad(name string) bool {
 	m := c.machines[name]
 	if c.ours(m) != nil {
-		return c.lendable(m) && c.now > m.idleAt+3*Second/2
+		return c.lendable(m) && c.now > m.idleAt+Second/3
 	}
 	for _, h := range c.hellos {
 		if c.now < h.at+3*Second && slices.Contains(h.idle, peer.Idle{Machine: name}) {
