--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -70,7 +70,6 @@
 	Claim      string
 	Images     map[string]bool
 	Uses       []Use
-	Slow       bool
 }
 
 // Job is an unfinished job of the part.
@@ -383,27 +382,24 @@
 // tasks fill: cheap kinds first, then a cached image, then the tightest room.
 func (p *planner) pick(j *Job) *Machine {
 	var best *Machine
-	var key [5]int64
+	var key [4]int64
 	for _, m := range p.Machines {
 		if !p.usable(j, m) || j.perZone(m.Zone) <= 0 {
 			continue
 		}
-		var k [5]int64
+		var k [4]int64
 		if j.Spec.Kind == wire.Daemon {
 			k[0] = int64(j.InZone[m.Zone])
 		}
-		if m.Slow {
-			k[1] = 1
-		}
 		if !m.Images[j.Spec.Image] {
-			k[2] = p.fetch(j, m.Type) / Second
+			k[1] = p.fetch(j, m.Type) / Second
 		}
 		if !m.Spot {
-			k[2] += 4
+			k[1] += 4
 		}
 		left := m.Free.Add(j.Need, -1)
-		k[3] = left.GPU
-		k[4] = left.CPU
+		k[2] = left.GPU
+		k[3] = left.CPU
 		if best == nil || slices.Compare(k[:], key[:]) < 0 {
 			best, key = m, k
 		}
