Reverted: draining slow machines by their pace

Its own scenario failed: on a small fleet the slow machine sets the pace that it is compared with, and tasks of one job share one wrong estimate.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -185,7 +185,6 @@
 	renewing bool
 	leaseErr int
 
-	pace    pace // of all tasks: on some days all estimates are wrong one way
 	usage   map[string]*sched.Res
 	dirty   map[string]bool // jobs with changes to commit
 	txns    []*txn
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -295,7 +295,6 @@
 	attempt := t.attempt
 	if tr.Why == wire.Done && !j.cancelled {
 		m.errors, j.suspect = 0, false
-		c.timed(m, j, t)
 		clear(j.avoid)
 		m.fetched(j.spec.Image, j.spec.ImageGB)
 		c.change(j, n, done, attempt, "")
@@ -329,22 +328,6 @@
 	c.early(0)
 }
 
-// timed compares a run time with its estimate. Estimates are often wrong by
-// half; a machine whose tasks take more than twice as long as elsewhere, three
-// times on end, is slow, and is drained like a sick one.
-func (c *Core) timed(m *machine, j *job, t *task) {
-	if t.since == 0 || j.spec.EstimateS <= 0 || t.attempt > 1 && j.spec.CheckpointS > 0 {
-		return // it may have gone on from saved progress
-	}
-	ratio := min(10, float64(c.now-t.since)/float64(Second)/j.spec.EstimateS)
-	c.pace.add(ratio)
-	m.pace.add(ratio)
-	if !m.sick && m.pace.n >= 3 && c.pace.n >= 12 && m.pace.mean > 2.2*c.pace.mean {
-		m.sick = true
-		c.info("machine slow", "machine", m.name, "pace", m.pace.mean, "elsewhere", c.pace.mean)
-	}
-}
-
 // gone takes in that a task is proven to be on its machine no more.
 func (c *Core) gone(j *job, n int, why string) {
 	t := j.task(n)
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -142,7 +142,6 @@
 	images   []image
 	errors   int
 	sick     bool
-	pace     pace // run times against their estimates
 	claim    string
 	claimTo  int64
 	reported []wire.TaskReport
@@ -155,17 +154,6 @@
 	delOK    bool
 }
 
-// pace averages run times as shares of their estimates.
-type pace struct {
-	n    int
-	mean float64
-}
-
-func (p *pace) add(ratio float64) {
-	p.n++
-	p.mean += (ratio - p.mean) / float64(min(p.n, 20))
-}
-
 type image struct {
 	name string
 	gb   float64
