--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -257,10 +257,28 @@
 	return true
 }
 
-// broken tells whether a gang lost a task: the rest must go before it
-// starts again.
+// gathering tells whether a gang that lost tasks has not begun to run: those
+// that wait keep their places, and replacements with the same attempt complete
+// it.
+func (j *job) gathering() bool {
+	if j.spec.Kind != wire.Gang || j.nDone > 0 || j.nPlaced == 0 || j.cancelled || j.spoiled {
+		return false
+	}
+	for _, ch := range j.chunks {
+		for i := range ch.tasks {
+			t := &ch.tasks[i]
+			if t.state == placed && (!t.shown || t.leaving > 0 || t.reported != wire.Fetching && t.reported != wire.Waiting) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// broken tells whether a gang lost a task while it ran: the rest must go
+// before it starts again.
 func (j *job) broken() bool {
-	return j.spec.Kind == wire.Gang && !j.placing && j.nDone == 0 && j.nPlaced > 0 && j.nPlaced < j.spec.Tasks
+	return j.spec.Kind == wire.Gang && !j.placing && !j.gathering() && j.nDone == 0 && j.nPlaced > 0 && j.nPlaced < j.spec.Tasks
 }
 
 func (c *Core) mustStop(j *job, t *task) bool { return j.cancelled || t.leaving > 0 || j.broken() }
@@ -303,6 +321,8 @@
 	}
 	c.change(j, n, queued, attempt, "")
 	t = j.task(n)
+	// Its worker still holds this attempt, so it must not be used again.
+	j.spoiled = j.nPlaced > 0
 	switch tr.Why {
 	case wire.Failed:
 		j.avoid[m.name] = true
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -109,6 +109,7 @@
 	placing bool            // a gang whose start is being committed
 	avoid   map[string]bool // machines that it failed on
 	suspect bool            // fails wherever it runs
+	spoiled bool            // a task of this attempt of the gang has exited
 	holdOff int64
 	backOff int64
 	zones   map[string]int
@@ -553,6 +554,9 @@
 	c.count(j, n, t, -1)
 	*t = task{state: state, attempt: attempt, machine: machine, gen: t.gen, placedAt: c.now, holdOff: t.holdOff}
 	c.count(j, n, t, 1)
+	if j.nPlaced == 0 {
+		j.spoiled = false
+	}
 }
 
 func (c *Core) count(j *job, n int, t *task, by int) {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -87,7 +87,7 @@
 		for z, n := range j.zones {
 			sj.InZone[z] = n
 		}
-		if !j.busy && c.now >= j.holdOff && !(j.spec.Kind == wire.Gang && j.nPlaced > 0) {
+		if !j.busy && c.now >= j.holdOff && !(j.spec.Kind == wire.Gang && j.nPlaced > 0 && !j.gathering()) {
 			sj.Pending = len(j.waiting(c.now, 500))
 		}
 		jobs[id], shown[id] = j, sj
@@ -203,7 +203,7 @@
 	}
 	// A gang starts whole; but once one of its tasks is done all are, and what
 	// a lost machine could not report any more is only asked for again.
-	if j.spec.Kind == wire.Gang && len(list)+j.nDone < j.spec.Tasks {
+	if j.spec.Kind == wire.Gang && len(list)+j.nDone < j.spec.Tasks && !j.gathering() {
 		return nil
 	}
 	return list
@@ -213,12 +213,16 @@
 func (c *Core) plan(p *part) {
 	v, jobs := c.view(p)
 	plan := sched.Make(v)
-	next := map[string][]int{}
+	next, gangAttempt := map[string][]int{}, map[string]uint64{}
 	for _, s := range plan.Starts {
 		j := jobs[s.Job.ID]
 		if _, ok := next[j.id]; !ok {
 			next[j.id] = j.waiting(c.now, 500)
 			if j.spec.Kind == wire.Gang {
+				gangAttempt[j.id] = j.lastAttempt()
+				if !j.gathering() {
+					gangAttempt[j.id]++
+				}
 				j.placing = true
 			}
 		}
@@ -229,10 +233,7 @@
 			attempt = t.attempt + 1
 		}
 		if j.spec.Kind == wire.Gang {
-			attempt = j.lastAttempt() + 1
-			if n > 0 && j.task(0) != nil && j.task(0).state == placed {
-				attempt = j.task(0).attempt
-			}
+			attempt = gangAttempt[j.id]
 		}
 		c.change(j, n, placed, attempt, s.Machine.Name)
 		c.log(-4, "task placed", "job", j.id, "task", n, "attempt", attempt, "machine", s.Machine.Name, "waited_s", (c.now-j.at)/Second)
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -9,16 +9,19 @@
 	"spurmoor/internal/wire"
 )
 
+const keptChanges = 150
+
 // store stands in for the state service.
 type store struct {
-	w      *World
-	keys   map[string]*value
-	rev    uint64
-	log    []wire.Event
-	leases map[uint64]*hold
-	lease  uint64
-	down   int64 // until when
-	watch  []*watcher
+	w       *World
+	keys    map[string]*value
+	rev     uint64
+	log     []wire.Event
+	trimmed uint64 // changes up to this revision are not kept
+	leases  map[uint64]*hold
+	lease   uint64
+	down    int64 // until when
+	watch   []*watcher
 }
 
 type value struct {
@@ -100,6 +103,12 @@
 		s.keys[x.Put] = &value{x.Value, s.rev, x.Lease}
 		s.log = append(s.log, wire.Event{Put: x.Put, Value: x.Value, Version: s.rev})
 	}
+	// It keeps few changes, so that a controller cut off for a while is told
+	// to read everything again.
+	if n := len(s.log) - keptChanges; n > 0 {
+		s.trimmed = s.log[n-1].Version
+		s.log = s.log[n:]
+	}
 }
 
 func (s *store) events(since uint64) wire.Follow {
@@ -168,6 +177,10 @@
 			r.Status = 404
 		}
 	case core.OpFollow:
+		if v.Since < s.trimmed {
+			r.Status = 410
+			break
+		}
 		f := s.events(v.Since)
 		if len(f.Events) == 0 && v.WaitMs > 0 {
 			x := &watcher{n: n, since: v.Since, reply: func(got *core.StoreReply) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -84,6 +84,7 @@
 	Begun    bool            // some of its tasks were started
 	Deprior  bool            // failing everywhere: it must not take room first
 	score    float64
+	zone     string // where its machines are to be rented, if all in one
 	blocked  int
 	Capacity int // tasks that the team's limit still admits
 }
@@ -291,6 +292,9 @@
 
 // perZone is how many more of the job's tasks a zone may take.
 func (j *Job) perZone(zone string) int {
+	if j.zone != "" && zone != j.zone {
+		return 0
+	}
 	if j.Spec.OneZone {
 		for z, n := range j.InZone {
 			if n > 0 && z != zone {
@@ -654,6 +658,9 @@
 		if j.Deprior {
 			continue
 		}
+		if j.Spec.OneZone && j.blocked > 1 {
+			j.zone = p.rentZone(j)
+		}
 		for n := min(j.blocked, 400); n > 0; n-- {
 			if total >= 12 {
 				p.order(rent, order)
@@ -698,6 +705,37 @@
 	}
 }
 
+// rentZone is the one zone that all of a job's machines are to be in: where
+// most of them are free or boot already and the rest may be had. Renting each where
+// it was cheapest left gangs with half their machines in each of two zones,
+// returned as idle and rented again without end.
+func (p *planner) rentZone(j *Job) string {
+	has := map[string]int{}
+	for _, m := range p.Machines {
+		if !m.Foreign && !j.Avoid[m.Name] && Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) && j.perZone(m.Zone) > 0 {
+			has[m.Zone] += m.Free.Times(j.Need)
+		}
+	}
+	best, most := "", -1
+	for i := range p.Types {
+		t := &p.Types[i]
+		if !ResOf(t.CPUs, t.GPUs, t.MemoryGB).Fits(j.Need) {
+			continue
+		}
+		for _, z := range t.Zones {
+			open := false
+			for _, spot := range []bool{true, false} {
+				open = open || Allowed(j.Spec, t.Name, z, spot) && !p.Refused[Kind{t.Name, z, spot}]
+			}
+			n := min(has[z], j.blocked)
+			if (open || n == j.blocked) && j.perZone(z) > 0 && (n > most || n == most && z < best) {
+				best, most = z, n
+			}
+		}
+	}
+	return best
+}
+
 // meets tells whether a task that starts at this time is early enough for
 // what its owner expects.
 func (p *planner) meets(j *Job, m *Machine, at int64) bool {
@@ -722,6 +760,9 @@
 		if m.Foreign && !m.Lent && m.Claim != j.ID || m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 			continue
 		}
+		if j.Spec.Kind == wire.Gang && !m.Free.Fits(j.Need) && slices.ContainsFunc(m.Uses, func(u Use) bool { return u.Job == j && u.Index >= 0 }) {
+			continue // its own mates wait there for it
+		}
 		t := m.freeAt(j.Need, p.Now)
 		if m.Lent && t < math.MaxInt64 {
 			t = max(t, m.ReadyAt)
