--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -9,10 +9,9 @@
 
 // listedMachine is what the cloud's list said of a machine lately.
 type listedMachine struct {
-	first  int64
-	last   int64
-	round  int
-	failed bool
+	first int64
+	last  int64
+	round int
 }
 
 // keepCloud asks the cloud for what is due, one request of a sort at a time.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,7 +188,6 @@
 	leasedAt int64 // when the last renewal that succeeded was sent
 	renewAt  int64
 	renewing bool
-	leaseErr int
 
 	usage   map[string]*sched.Res
 	dirty   map[string]bool // jobs with changes to commit
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -645,13 +645,9 @@
 	}, then)
 }
 
-// kindOf is what a machine was rented as.
-func (m *machine) kindOf() sched.Kind {
-	return sched.Kind{Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot}
-}
+// kindName names a kind in the log.
+type kindName sched.Kind
 
 func (k kindName) String() string {
 	return fmt.Sprintf("%s/%s/spot=%t", k.Type, k.Zone, k.Spot)
 }
-
-type kindName sched.Kind
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -13,7 +13,8 @@
 // Keys. Everything that is followed lies below Live; the final states of
 // jobs lie apart and are read one by one.
 const (
-	Live    = "live/" // what the mirror follows
+	// Live is the prefix of what the mirror follows.
+	Live    = "live/"
 	jobKey  = Live + "j/"
 	machKey = Live + "m/"
 	partKey = Live + "p/"
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -20,7 +20,6 @@
 	tookAt   int64
 	sweeping bool
 	sweepAt  int64
-	started  bool               // something was placed since take-over
 	rents    map[sched.Kind]int // asked for and not recorded yet
 }
 
@@ -97,7 +96,7 @@
 		p.freeAt = c.now
 	}
 	if mine && !p.held {
-		p.held, p.tookAt, p.started = true, c.now, false
+		p.held, p.tookAt = true, c.now
 		c.info("part taken over", "part", p.idx, "term", ver)
 		for _, name := range sorted(c.machines) {
 			if m := c.machines[name]; m.rec.Cur == p.idx {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -240,7 +240,6 @@
 		if m := c.machines[s.Machine.Name]; m.claim == j.id {
 			m.claim = ""
 		}
-		p.started = true
 	}
 	for _, e := range plan.Evictions {
 		m := c.machines[e.Machine.Name]
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -16,7 +16,6 @@
 	finalAt  int64
 	told     string
 	asked    bool // to cancel
-	cancelAt int64
 	tries    int
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -74,19 +74,18 @@
 
 // Job is an unfinished job of the part.
 type Job struct {
-	ID       string
-	Spec     *wire.Job
-	Need     Res
-	At       int64 // accepted
-	Pending  int   // tasks to place, those held back by a back-off not counted
-	InZone   map[string]int
-	Avoid    map[string]bool // machines
-	Begun    bool            // some of its tasks were started
-	Deprior  bool            // failing everywhere: it must not take room first
-	score    float64
-	zone     string // where its machines are to be rented, if all in one
-	blocked  int
-	Capacity int // tasks that the team's limit still admits
+	ID      string
+	Spec    *wire.Job
+	Need    Res
+	At      int64 // accepted
+	Pending int   // tasks to place, those held back by a back-off not counted
+	InZone  map[string]int
+	Avoid   map[string]bool // machines
+	Begun   bool            // some of its tasks were started
+	Deprior bool            // failing everywhere: it must not take room first
+	score   float64
+	zone    string // where its machines are to be rented, if all in one
+	blocked int
 }
 
 // Team is a team's share of the part.
@@ -110,7 +109,6 @@
 	Teams    map[string]*Team
 	Refused  map[Kind]bool
 	Ops      *settings.Operators
-	NoRent   bool
 	Aims     map[string][]settings.Objective // by class
 }
 
@@ -183,9 +181,7 @@
 		blocked = append(blocked, j)
 	}
 	p.evict(blocked)
-	if !v.NoRent {
-		p.demand(blocked)
-	}
+	p.demand(blocked)
 	return &p.plan
 }
 
@@ -340,7 +336,6 @@
 	m.Free = m.Free.Add(j.Need, -1)
 	j.InZone[m.Zone]++
 	j.Pending--
-	j.Capacity--
 	if t := p.Teams[j.Spec.Team]; t != nil {
 		t.Used = t.Used.Add(j.Need, 1)
 	}
