--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -184,6 +184,13 @@
 // keepMirror keeps one watch open, and reads at once for those who wait.
 func (c *Core) keepMirror() {
 	if !c.synced {
+		// Who waits for a read is told at once that there is none: reading
+		// everything again may take as long as an outage lasts.
+		waiting := c.fresh
+		c.fresh = nil
+		for _, f := range waiting {
+			f(false)
+		}
 		if c.relist == nil && c.now >= c.followAt {
 			c.relist = &relisting{seen: map[string]bool{}}
 			c.listPage("")
