A claim on a machine lasts until its job starts there

Cause: it ended with the job's first task anywhere, and two parts took a machine from each other three times a second.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -520,7 +520,10 @@
 	case m.ready && len(m.on) == 0 && m.claim == "" && c.now > m.idleAt+secs(c.set.Ops.IdleReturnS) && c.now > m.bornAt+50*Second:
 		c.remove(m, "idle")
 	}
-	if m.claim != "" && (c.now > m.claimTo || c.jobs[m.claim] == nil || c.jobs[m.claim].nPlaced > 0) {
+	// A claim ends with the job's start there (plan), its time, or its need. It
+	// ended with the job's first task anywhere once: two parts then took a
+	// machine from each other three times a second.
+	if j := c.jobs[m.claim]; m.claim != "" && (c.now > m.claimTo || j == nil || j.nPlaced+j.nDone == j.spec.Tasks) {
 		m.claim = ""
 	}
 }
