--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -19,13 +19,15 @@
 type Client struct {
 	http *fasthttp.HostClient
 	reqs *rate.Limiter
+	bad  func(who string, err error)
 }
 
 // New makes a client. Controllers are rarely busy all at once, so each may use
-// half of the budget; a 429 is asked again.
-func New(set *settings.Settings) *Client {
+// half of the budget; a 429 is asked again. bad is told of every answer that can't be read.
+func New(set *settings.Settings, bad func(who string, err error)) *Client {
 	share := set.Facts.Cloud.RPS / 2
 	return &Client{
+		bad: bad,
 		http: &fasthttp.HostClient{Addr: set.Endpoints.Cloud, MaxConns: 8, ReadTimeout: 15 * time.Second,
 			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 60 * time.Second, MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize: 4 << 20},
@@ -46,10 +48,10 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	uri := ""
-	var body, to any
+	var body any
 	switch call.Op {
 	case core.OpCatalog:
-		uri, to = "/catalog", &r.Catalog
+		uri = "/catalog"
 	case core.OpRent:
 		uri, body = "/machines", call.Rent
 	case core.OpDelete:
@@ -59,11 +61,7 @@
 		if call.After != "" {
 			q.Set("Since", call.After)
 		}
-		uri, to = "/machines?"+q.Encode(), &r.Machines
-	}
-	var names wire.Names
-	if call.Op == core.OpRent {
-		to = &names
+		uri = "/machines?" + q.Encode()
 	}
 	req.SetRequestURI(uri)
 	req.Header.SetHost(c.http.Addr)
@@ -79,11 +77,22 @@
 	if err := c.http.DoTimeout(req, resp, 5*time.Second); err != nil {
 		return r
 	}
-	status := resp.StatusCode()
-	if status == 200 && to != nil && json.Unmarshal(resp.Body(), to) != nil {
-		return r
+	if err := decode(call, resp.StatusCode(), resp.Body(), r); err != nil {
+		c.bad("cloud", err)
+	}
+	return r
+}
+
+// decode reads an answer. One that can't be read counts as none.
+func decode(call core.CloudCall, status int, body []byte, r *core.CloudReply) error {
+	var names wire.Names
+	to := map[core.CloudOp]any{core.OpCatalog: &r.Catalog, core.OpRent: &names, core.OpMachines: &r.Machines}[call.Op]
+	if status == 200 && to != nil {
+		if err := json.Unmarshal(body, to); err != nil {
+			return err
+		}
 	}
 	r.Names = names.Machines
 	r.Status = status
-	return r
+	return nil
 }
--- a/internal/rehearsal/loopback_test.go
+++ b/internal/rehearsal/loopback_test.go
@@ -328,6 +328,37 @@
 	for _, id := range ids {
 		l.until(id+" is done", func() bool { return state3(id, 2) == wire.Done })
 	}
+	// The command line, as an owner would use it.
+	cli := func(args ...string) (string, int) {
+		cmd := exec.Command(bin, append(args, "--addr", l.nodes[1])...)
+		out, err := cmd.Output()
+		if err != nil && cmd.ProcessState == nil {
+			t.Fatal(err)
+		}
+		return string(out), cmd.ProcessState.ExitCode()
+	}
+	mine := Job{Tasks: 1, GPUs: 1, RunS: 600, Team: "sur", Kind: wire.Array}
+	l.do(func() { l.w.truth["wk-000015"] = mine })
+	file := filepath.Join(dir, "job.json")
+	if err := os.WriteFile(file, submission(mine.spec(15)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		says string
+		code int
+	}{
+		{[]string{"submit", file}, `"wk-000015"`, 0},
+		{[]string{"status", "wk-000015"}, `"Estado"`, 0},
+		{[]string{"status", "--why", "wk-000015"}, `"holder"`, 0},
+		{[]string{"cancel", "wk-000015"}, wire.Cancelled, 0},
+		{[]string{"status", "wk-999999"}, "", 3},
+	} {
+		l.until(strings.Join(c.args, " "), func() bool {
+			out, code := cli(c.args...)
+			return code == c.code && strings.Contains(out, c.says)
+		})
+	}
 	more := submit(20, Job{Tasks: 6, GPUs: 1, RunS: 3, Team: "norte"})
 	kill(0)
 	last := submit(22, Job{Tasks: 2, GPUs: 1, RunS: 1, Team: "sur"})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -69,11 +69,12 @@
 	s := &Server{
 		set: set, log: log, core: core.New(set, inc, rng), start: time.Now(),
 		inputs: make(chan input, 2048), waiting: map[uint64]chan core.Answer{},
-		store: store.New(set), cloud: cloud.New(set), pushes: make(chan struct{}, 32),
+		pushes:  make(chan struct{}, 32),
 		telling: make([]atomic.Bool, len(set.Peers)),
 		workers: &fasthttp.Client{MaxConnsPerHost: 2, ReadTimeout: 4 * time.Second, WriteTimeout: 2 * time.Second,
 			MaxIdleConnDuration: 20 * time.Second, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 1 << 20},
 	}
+	s.store, s.cloud = store.New(set, s.unreadable), cloud.New(set, s.unreadable)
 	for _, p := range set.Peers {
 		s.peers = append(s.peers, &fasthttp.HostClient{Addr: p.Addr, MaxConns: 2, ReadTimeout: 3 * time.Second,
 			WriteTimeout: 2 * time.Second, MaxIdleConnDuration: 30 * time.Second, MaxIdemponentCallAttempts: 1})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/url"
 	"strconv"
 	"time"
@@ -22,17 +23,20 @@
 	http   *fasthttp.HostClient
 	reqs   *rate.Limiter
 	writes *rate.Limiter
+	bad    func(who string, err error)
 }
 
 // New makes a client. Each controller may use half of the requests and 0.6
 // of the changes: they are rarely busy all at once, and a 429 is retried.
-func New(set *settings.Settings) *Client {
+// bad is told of every answer that can't be read.
+func New(set *settings.Settings, bad func(who string, err error)) *Client {
 	s := set.Facts.State
 	return &Client{
 		http: &fasthttp.HostClient{Addr: set.Endpoints.State, MaxConns: 64, ReadTimeout: 70 * time.Second,
 			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 30 * time.Second, MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize: 8 << 20},
 		reqs:   rate.NewLimiter(rate.Limit(s.RPS/2), max(1, int(s.RPS/2))),
+		bad:    bad,
 		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.6), max(s.TxnOps, int(s.WriteRPS*0.6))),
 	}
 }
@@ -102,12 +106,14 @@
 	if err := c.http.DoTimeout(req, resp, wait); err != nil {
 		return r
 	}
-	decode(call, resp.StatusCode(), resp.Body(), r)
+	if err := decode(call, resp.StatusCode(), resp.Body(), r); err != nil {
+		c.bad("state service", err)
+	}
 	return r
 }
 
 // decode reads an answer. One that can't be read counts as none.
-func decode(call core.StoreCall, status int, body []byte, r *core.StoreReply) {
+func decode(call core.StoreCall, status int, body []byte, r *core.StoreReply) error {
 	var to any
 	var hold wire.HoldResult
 	switch {
@@ -123,12 +129,15 @@
 	case call.Op == core.OpFollow:
 		to = &r.Follow
 	}
-	if to != nil && json.Unmarshal(body, to) != nil {
-		return
+	if to != nil {
+		if err := json.Unmarshal(body, to); err != nil {
+			return err
+		}
 	}
 	r.Lease = hold.Lease
 	if status == 200 && (call.Op == core.OpTxn && r.Txn.Revision == 0 || call.Op == core.OpHold && r.Lease == 0) {
-		return
+		return errors.New("an answer of 200 without its number")
 	}
 	r.Status = status
+	return nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -16,7 +16,9 @@
 	f.Add(int(core.OpFollow), 200, []byte(`{"Revision":433,"Log":[{"Write":"c/9","Data":{},"Edicion":433},{"Drop":"c/d","Edicion":432}]}`))
 	f.Fuzz(func(t *testing.T, op, status int, body []byte) {
 		r := &core.StoreReply{}
-		decode(core.StoreCall{Op: core.StoreOp(op)}, status, body, r)
+		if err := decode(core.StoreCall{Op: core.StoreOp(op)}, status, body, r); err != nil && r.Status != 0 {
+			t.Errorf("unreadable, yet status %d", r.Status)
+		}
 		if r.Status != 0 && r.Status != status {
 			t.Errorf("status %d became %d", status, r.Status)
 		}
