--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -47,6 +47,7 @@
 	saved   bool
 	on      bool
 	runFrom int64
+	base    int64 // progress that the run began with
 	epoch   int
 }
 
@@ -329,7 +330,8 @@
 	if truth.Kind == wire.Daemon {
 		return
 	}
-	left := int64(truth.RunS*float64(second)) - t.w.w.saved[t.key(truth)]
+	t.base = t.w.w.saved[t.key(truth)]
+	left := int64(truth.RunS*float64(second)) - t.base
 	t.later(max(left, second/10), func() { t.exit(wire.Done) })
 }
 
@@ -380,7 +382,7 @@
 		t.epoch++
 		t.w.changed()
 		t.later(int64(spec.SaveS*float64(second)), func() {
-			t.w.w.saved[t.key(truth)] += done
+			t.w.w.saved[t.key(truth)] = max(t.w.w.saved[t.key(truth)], t.base+done)
 			t.saved = true
 			t.exit(wire.Stopped)
 		})
