--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,88 @@
+// Package cloud is the client of the cloud's interface, within its budget.
+package cloud
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// Client talks to the cloud.
+type Client struct {
+	http *fasthttp.HostClient
+	reqs *rate.Limiter
+}
+
+// New makes a client with this controller's share of the requests.
+func New(set *settings.Settings) *Client {
+	share := set.Facts.Cloud.RPS / float64(len(set.Nodes))
+	return &Client{
+		http: &fasthttp.HostClient{Addr: set.Endpoints.Cloud, MaxConns: 8, ReadTimeout: 15 * time.Second,
+			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 60 * time.Second, MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize: 4 << 20},
+		reqs: rate.NewLimiter(rate.Limit(share), max(1, int(2*share))),
+	}
+}
+
+// Do carries out a call and gives the answer; status 0: none came.
+func (c *Client) Do(call core.CloudCall) *core.CloudReply {
+	r := &core.CloudReply{Call: call.Call}
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	if c.reqs.Wait(ctx) != nil {
+		r.Status = 429
+		return r
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	uri := ""
+	var body, to any
+	switch call.Op {
+	case core.OpCatalog:
+		uri, to = "/catalog", &r.Catalog
+	case core.OpRent:
+		uri, body = "/machines", call.Rent
+	case core.OpDelete:
+		uri, body = "/machines/delete", wire.Names{Machines: call.Names}
+	case core.OpMachines:
+		q := url.Values{"Most": {"500"}}
+		if call.After != "" {
+			q.Set("Since", call.After)
+		}
+		uri, to = "/machines?"+q.Encode(), &r.Machines
+	}
+	var names wire.Names
+	if call.Op == core.OpRent {
+		to = &names
+	}
+	req.SetRequestURI(uri)
+	req.Header.SetHost(c.http.Addr)
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return r
+		}
+		req.Header.SetMethod("POST")
+		req.Header.SetContentType("application/json")
+		req.SetBody(b)
+	}
+	if err := c.http.DoTimeout(req, resp, 5*time.Second); err != nil {
+		return r
+	}
+	status := resp.StatusCode()
+	if status == 200 && to != nil && json.Unmarshal(resp.Body(), to) != nil {
+		return r
+	}
+	r.Names = names.Machines
+	r.Status = status
+	return r
+}
--- /dev/null
+++ b/internal/core/cloud.go
@@ -0,0 +1,213 @@
+package core
+
+import (
+	"strconv"
+
+	"spurmoor/internal/sched"
+	"spurmoor/internal/wire"
+)
+
+// listedMachine is what the cloud's list said of a machine lately.
+type listedMachine struct {
+	first  int64
+	last   int64
+	round  int
+	failed bool
+}
+
+// keepCloud asks the cloud for what is due, one request of a sort at a time.
+func (c *Core) keepCloud() {
+	if !c.typesBusy && c.now >= c.typesAt {
+		c.typesBusy = true
+		c.callCloud(CloudCall{Op: OpCatalog}, func(r *CloudReply) {
+			c.typesBusy = false
+			if r.Status != 200 || len(r.Catalog.Types) == 0 {
+				c.typesAt = c.now + c.jitter(2*Second)
+				return
+			}
+			c.typesAt = c.now + 60*Second
+			c.types = r.Catalog.Types
+			for i := range c.types {
+				c.typeOf[c.types[i].Name] = &c.types[i]
+			}
+			for _, m := range c.machines {
+				m.typ = c.typeOf[m.rec.Type]
+			}
+		})
+	}
+	holds := false
+	for _, p := range c.parts {
+		holds = holds || p.held
+	}
+	if !holds {
+		return
+	}
+	if !c.listing && c.now >= c.listAt {
+		c.listing = true
+		c.listRound++
+		c.listMachines("")
+	}
+	if c.deleting || c.now < c.cloudBad {
+		return
+	}
+	var names []string
+	for _, name := range sorted(c.machines) {
+		m := c.machines[name]
+		if c.ours(m) != nil && m.rec.Gone && !m.busy && !m.delSent && len(names) < 100 {
+			m.delSent = true
+			names = append(names, name)
+		}
+	}
+	if names == nil {
+		return
+	}
+	c.deleting = true
+	c.callCloud(CloudCall{Op: OpDelete, Names: names}, func(r *CloudReply) {
+		c.deleting = false
+		for _, name := range names {
+			m := c.machines[name]
+			if m == nil {
+				continue
+			}
+			// 200: the machines and all on them are gone.
+			m.delOK = m.delOK || r.Status == 200
+			m.delSent = r.Status == 200
+		}
+		if r.Status != 200 {
+			c.cloudBad = c.now + c.jitter(2*Second)
+		}
+	})
+}
+
+func (c *Core) listMachines(after string) {
+	c.callCloud(CloudCall{Op: OpMachines, After: after}, func(r *CloudReply) {
+		if r.Status != 200 {
+			c.listing = false
+			c.listAt = c.now + c.jitter(5*Second)
+			return
+		}
+		for _, cm := range r.Machines.Machines {
+			after = cm.ID
+			c.list(cm)
+		}
+		if r.Machines.More && len(r.Machines.Machines) > 0 {
+			c.listMachines(after)
+			return
+		}
+		c.listing = false
+		c.listAt = c.now + c.jitter(secs(max(5, c.set.Facts.Cloud.ListLagS)))
+		lag := secs(2*c.set.Facts.Cloud.ListLagS + 10)
+		for _, name := range sorted(c.listed) {
+			l := c.listed[name]
+			// Listed before and absent from several lists: gone for good.
+			if l.round < c.listRound-2 && c.now > l.last+lag {
+				delete(c.listed, name)
+				if m := c.machines[name]; m != nil && c.ours(m) != nil && c.now > m.seenAt+lag {
+					c.remove(m, "no longer listed")
+				}
+			}
+		}
+	})
+}
+
+func (c *Core) list(cm wire.CloudMachine) {
+	l := c.listed[cm.ID]
+	if l == nil {
+		l = &listedMachine{first: c.now}
+		c.listed[cm.ID] = l
+	}
+	l.last, l.round = c.now, c.listRound
+	m := c.machines[cm.ID]
+	if m != nil {
+		if m.addr == "" {
+			m.addr = cm.Addr
+		}
+		if cm.State == wire.MachineFailed && c.ours(m) != nil {
+			c.remove(m, "failed")
+		}
+		return
+	}
+	// A rental that was not expected: of a late request, or one whose renter
+	// ended before it could record it. Lists lag, so it is given time.
+	if c.now > l.first+secs(2*c.set.Facts.Cloud.ListLagS+5) {
+		c.adopt(cm.ID, cm.Type, cm.Zone, cm.Spot, "listed")
+		l.first = c.now
+	}
+}
+
+// strayReport notes a worker that no record is known of.
+func (c *Core) strayReport(r *wire.Report) {
+	l := c.listed["report "+r.Machine]
+	if l == nil {
+		c.listed["report "+r.Machine] = &listedMachine{first: c.now, last: c.now, round: c.listRound}
+		return
+	}
+	l.last, l.round = c.now, c.listRound
+	if c.now > l.first+6*Second {
+		c.adopt(r.Machine, r.Type, r.Zone, r.Spot, "reported")
+		l.first = c.now
+	}
+}
+
+// adopt records a stray machine in a part of ours; it is used or returned
+// like any other.
+func (c *Core) adopt(name, typ, zone string, spot bool, how string) {
+	if at, ok := c.graves[name]; ok && c.now < at+120*Second {
+		return
+	}
+	for _, p := range c.parts {
+		if p.held {
+			c.info("stray machine adopted", "machine", name, "type", typ, "how", how)
+			c.newMachine(p, name, machineRecord{Type: typ, Zone: zone, Spot: spot, Home: p.idx, Cur: p.idx, At: c.now}, func() {})
+			return
+		}
+	}
+}
+
+// rent asks for machines. The name of the request is never used again: it
+// has this process's number in it.
+func (c *Core) rent(p *part, k sched.Kind, count int) {
+	c.rentSeq++
+	req := &wire.Rent{Request: c.set.Node + "-" + strconv.FormatUint(c.inc, 36) + "-" + strconv.Itoa(c.rentSeq),
+		Type: k.Type, Zone: k.Zone, Spot: k.Spot, Count: min(count, 50)}
+	p.renting(c, k, req.Count)
+	c.tryRent(p, k, req, 1)
+}
+
+func (p *part) renting(c *Core, k sched.Kind, n int) {
+	if p.rents == nil {
+		p.rents = map[sched.Kind]int{}
+	}
+	p.rents[k] += n
+	if p.rents[k] <= 0 {
+		delete(p.rents, k)
+	}
+}
+
+func (c *Core) tryRent(p *part, k sched.Kind, req *wire.Rent, try int) {
+	c.callCloud(CloudCall{Op: OpRent, Rent: req}, func(r *CloudReply) {
+		if r.Status == 200 {
+			c.info("machines rented", "part", p.idx, "kind", kindName(k).String(), "asked", req.Count, "got", len(r.Names))
+			if len(r.Names) < req.Count {
+				c.refused[k] = c.now + secs(c.set.Ops.RefusalS)
+				p.renting(c, k, len(r.Names)-req.Count)
+				c.early(Second / 5)
+			}
+			for _, name := range r.Names {
+				c.newMachine(p, name, machineRecord{Type: k.Type, Zone: k.Zone, Spot: k.Spot, Home: p.idx, Cur: p.idx, At: c.now},
+					func() { p.renting(c, k, -1) })
+			}
+			return
+		}
+		if (r.Status == 0 || r.Status == 429) && try < 4 && p.held {
+			// Whether it was carried out is not known: the same name gives
+			// the same machines.
+			c.tryRent(p, k, req, try+1)
+			return
+		}
+		p.renting(c, k, -req.Count)
+		c.refused[k] = c.now + c.jitter(secs(c.set.Ops.RefusalS))
+		c.info("rental refused", "part", p.idx, "kind", kindName(k).String(), "status", r.Status)
+		c.early(Second / 5)
+	})
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,348 @@
+// Package core is the controller's state machine: Step takes an input and
+// the time and gives the effects to carry out. It does no input or output,
+// reads no clock and uses no randomness but a generator handed to it.
+//
+// All that must last is in the state service, and every controller keeps a
+// mirror of it: leased parts, machine records, unfinished jobs and their
+// tasks. Decisions are made on that mirror and take effect only once a
+// conditional write of them was answered.
+package core
+
+import (
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"spurmoor/internal/peer"
+	"spurmoor/internal/sched"
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// Second is one second in whole microseconds.
+const Second = sched.Second
+
+// Inputs to Step. Now comes with Step; Status 0 means that no response came.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Submit is POST /work.
+	Submit struct {
+		Req  uint64
+		Body []byte
+	}
+	// Poll is GET /work/{id}.
+	Poll struct {
+		Req uint64
+		ID  string
+	}
+	// Cancel is POST /work/{id}/cancel.
+	Cancel struct {
+		Req uint64
+		ID  string
+	}
+	// Ready is GET /ready.
+	Ready struct{ Req uint64 }
+	// ReportIn is a worker's report.
+	ReportIn struct {
+		Req    uint64
+		Report *wire.Report
+	}
+	// Pushed answers a Push.
+	Pushed struct {
+		Machine string
+		Token   uint64
+		Status  int
+		Report  *wire.Report
+	}
+	// StoreReply answers a StoreCall.
+	StoreReply struct {
+		Call   uint64
+		Status int
+		Item   wire.Item
+		Items  wire.Items
+		Txn    wire.TxnResult
+		Follow wire.Follow
+		Lease  uint64
+	}
+	// CloudReply answers a CloudCall.
+	CloudReply struct {
+		Call     uint64
+		Status   int
+		Catalog  wire.Catalog
+		Names    []string
+		Machines wire.MachineList
+	}
+	// PeerIn is a message of another controller.
+	PeerIn struct{ Hello *peer.Hello }
+)
+
+// Effects of Step.
+type (
+	// Answer answers a request of a user, worker or health check.
+	Answer struct {
+		Req        uint64
+		Status     int
+		Body       any
+		RetryAfter int
+	}
+	// StoreCall is a request to the state service.
+	StoreCall struct {
+		Call   uint64
+		Op     StoreOp
+		Key    string // get, list (after), extend (unused)
+		Since  uint64
+		WaitMs int
+		Lease  uint64
+		TTLMs  int64
+		Txn    *wire.Txn
+		Urgent bool // lease renewals: not held back by the budget
+	}
+	// CloudCall is a request to the cloud.
+	CloudCall struct {
+		Call  uint64
+		Op    CloudOp
+		Rent  *wire.Rent
+		Names []string
+		After string
+	}
+	// Push sends commands to a worker directly.
+	Push struct {
+		Machine string
+		Addr    string
+		Body    wire.Push
+	}
+	// Tell sends a message to every other controller.
+	Tell struct{ Hello *peer.Hello }
+	// Log is a line for the log.
+	Log struct {
+		Level slog.Level
+		Msg   string
+		Args  []any
+	}
+)
+
+// StoreOp names a request to the state service.
+type StoreOp int
+
+// Requests to the state service.
+const (
+	OpGet StoreOp = iota
+	OpList
+	OpTxn
+	OpHold
+	OpExtend
+	OpFollow
+)
+
+// CloudOp names a request to the cloud.
+type CloudOp int
+
+// Requests to the cloud.
+const (
+	OpCatalog CloudOp = iota
+	OpRent
+	OpDelete
+	OpMachines
+)
+
+// Core is one controller's state.
+type Core struct {
+	set *settings.Settings
+	rng *rand.Rand
+	inc uint64 // this process among all that ever bore the node's name
+	now int64
+	out []any
+
+	nextCall uint64
+	store    map[uint64]func(*StoreReply)
+	cloud    map[uint64]func(*CloudReply)
+
+	// the mirror of the state service
+	synced   bool
+	rev      uint64
+	parts    []*part
+	machines map[string]*machine
+	jobs     map[string]*job
+	stray    map[string]uint64 // task chunks of jobs that are over
+	finals   *finals
+	fresh    []func(ok bool) // wait for a read begun after they asked
+	reading  bool
+	follows  bool
+	followAt int64
+	readAt   int64
+	storeOK  int64 // last answer from the state service
+	storeBad int64 // when it last began not to answer; 0: it answers
+	relist   *relisting
+
+	// our lease
+	lease    uint64
+	leasedAt int64 // when the last renewal that succeeded was sent
+	renewAt  int64
+	renewing bool
+	leaseErr int
+
+	usage   map[string]*sched.Res
+	dirty   map[string]bool // jobs with changes to commit
+	txns    []*txn
+	accepts int
+
+	types     []wire.MachineType
+	typeOf    map[string]*wire.MachineType
+	typesAt   int64
+	typesBusy bool
+	rentSeq   int
+	graves    map[string]int64 // machines lately deleted
+	refused   map[sched.Kind]int64
+	listAt    int64
+	listing   bool
+	listed    map[string]*listedMachine
+	listRound int
+	deleting  bool
+	cloudBad  int64
+
+	cycleAt   int64
+	wantCycle int64 // an early cycle is wanted at this time
+	summaryAt int64
+	why       map[string]string
+
+	hellos    map[string]*heard
+	helloAt   int64
+	asks      []peer.Ask
+	stepBack  int64 // takes no part before this
+	unreached int64
+	tickAt    int64
+}
+
+type heard struct {
+	since   int64
+	at      int64
+	storeOK bool
+	idle    []peer.Idle
+}
+
+// New makes a controller. inc tells this process from earlier ones of the
+// same name; rng serves jitter alone.
+func New(set *settings.Settings, inc uint64, rng *rand.Rand) *Core {
+	c := &Core{
+		set: set, rng: rng, inc: inc,
+		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
+		machines: map[string]*machine{}, jobs: map[string]*job{}, stray: map[string]uint64{},
+		finals: newFinals(20000), usage: map[string]*sched.Res{}, dirty: map[string]bool{},
+		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, listed: map[string]*listedMachine{},
+		typeOf: map[string]*wire.MachineType{}, hellos: map[string]*heard{}, why: map[string]string{},
+	}
+	for i := range set.Ops.Parts {
+		c.parts = append(c.parts, &part{idx: i})
+	}
+	for _, t := range set.Facts.Teams {
+		c.usage[t.Name] = &sched.Res{}
+	}
+	return c
+}
+
+// Step takes one input at a time that never runs backwards.
+func (c *Core) Step(now int64, in any) []any {
+	c.now = max(c.now, now)
+	c.out = nil
+	switch v := in.(type) {
+	case Tick:
+	case Submit:
+		c.submit(v)
+	case Poll:
+		c.poll(v)
+	case Cancel:
+		c.cancel(v)
+	case Ready:
+		c.ready(v)
+	case ReportIn:
+		c.report(v)
+	case Pushed:
+		c.pushed(v)
+	case *StoreReply:
+		c.storeReply(v)
+	case *CloudReply:
+		if f := c.cloud[v.Call]; f != nil {
+			delete(c.cloud, v.Call)
+			f(v)
+		}
+	case PeerIn:
+		c.hello(v.Hello)
+	}
+	c.housekeep()
+	return c.out
+}
+
+// housekeep does what time and the last input made due.
+func (c *Core) housekeep() {
+	c.keepMirror()
+	c.keepLease()
+	c.commit()
+	if c.now < c.tickAt {
+		return
+	}
+	c.tickAt = c.now + Second/10
+	c.keepParts()
+	c.keepMachines()
+	c.keepCloud()
+	c.cycle()
+	c.commit()
+	c.sayHello()
+	c.summary()
+}
+
+func (c *Core) emit(e any) { c.out = append(c.out, e) }
+
+func (c *Core) log(level slog.Level, msg string, args ...any) {
+	c.emit(Log{level, msg, args})
+}
+
+func (c *Core) info(msg string, args ...any) { c.log(slog.LevelInfo, msg, args...) }
+
+func (c *Core) callStore(call StoreCall, f func(*StoreReply)) {
+	c.nextCall++
+	call.Call = c.nextCall
+	c.store[call.Call] = f
+	c.emit(call)
+}
+
+func (c *Core) storeReply(r *StoreReply) {
+	f := c.store[r.Call]
+	if f == nil {
+		return
+	}
+	delete(c.store, r.Call)
+	switch {
+	case r.Status == 0 || r.Status >= 500:
+		if c.storeBad == 0 {
+			c.storeBad = c.now
+		}
+	case r.Status != 429:
+		c.storeOK, c.storeBad = c.now, 0
+	}
+	f(r)
+}
+
+func (c *Core) callCloud(call CloudCall, f func(*CloudReply)) {
+	c.nextCall++
+	call.Call = c.nextCall
+	c.cloud[call.Call] = f
+	c.emit(call)
+}
+
+// jitter spreads d over 0.75 to 1.25 of itself.
+func (c *Core) jitter(d int64) int64 { return d*3/4 + c.rng.Int64N(d/2+1) }
+
+func (c *Core) answer(req uint64, status int, body any) {
+	c.emit(Answer{Req: req, Status: status, Body: body})
+}
+
+// refuse answers at once that the user should come back later.
+func (c *Core) refuse(req uint64, status int, why string, after int) {
+	c.emit(Answer{Req: req, Status: status, Body: wire.Error{Error: why}, RetryAfter: after})
+}
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func secs(s float64) int64 { return int64(s * float64(Second)) }
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,577 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+
+	"spurmoor/internal/sched"
+	"spurmoor/internal/wire"
+)
+
+// tokenOf is what a machine's worker must obey: the later of the part's
+// take-over and the record's last change. Revisions only rise.
+func (c *Core) tokenOf(m *machine) uint64 { return max(c.parts[m.rec.Cur].ver, m.ver) }
+
+// ours gives a machine's part if we hold it.
+func (c *Core) ours(m *machine) *part {
+	if m.rec.Cur < 0 || m.rec.Cur >= len(c.parts) || !c.parts[m.rec.Cur].held {
+		return nil
+	}
+	return c.parts[m.rec.Cur]
+}
+
+// report answers a worker. Only the holder of the machine's part, within its
+// horizon, answers 200: that keeps the worker's tasks alive.
+func (c *Core) report(v ReportIn) {
+	r := v.Report
+	if !c.synced {
+		c.refuse(v.Req, 503, "the state service has not been read yet", 1)
+		return
+	}
+	m := c.machines[r.Machine]
+	if m == nil {
+		c.strayReport(r)
+		c.answer(v.Req, 421, wire.Redirect{})
+		return
+	}
+	if m.rec.Type != r.Type || m.rec.Zone != r.Zone || m.rec.Spot != r.Spot {
+		c.refuse(v.Req, 400, "not the machine that was rented", 0)
+		return
+	}
+	m.addr = r.Addr
+	p := c.ours(m)
+	if p == nil || !c.answers(p) {
+		to := ""
+		if m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && p == nil && c.parts[m.rec.Cur].ver > 0 {
+			to = c.parts[m.rec.Cur].rec.Node
+		}
+		if to == c.set.Node {
+			to = ""
+		}
+		c.answer(v.Req, 421, wire.Redirect{To: to})
+		return
+	}
+	token := c.tokenOf(m)
+	if r.Token > token {
+		// Someone was entitled after us: our mirror is behind.
+		c.read(func(bool) {})
+		c.refuse(v.Req, 503, "not entitled", 1)
+		return
+	}
+	if !m.newer(r) {
+		c.refuse(v.Req, 503, "a newer report was seen", 1)
+		return
+	}
+	orders := c.takeIn(m, r, true)
+	m.deadAt = max(m.deadAt, c.now+c.leaseS()+Second/2)
+	c.answer(v.Req, 200, wire.Orders{Token: token, Commands: orders})
+}
+
+func (m *machine) newer(r *wire.Report) bool {
+	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
+}
+
+// pushed takes in the answer to commands sent directly.
+func (c *Core) pushed(v Pushed) {
+	m := c.machines[v.Machine]
+	if m == nil {
+		return
+	}
+	m.pushing = false
+	p := c.ours(m)
+	if p == nil || v.Report == nil || v.Report.Machine != m.name || (v.Status != 200 && v.Status != 409) || !m.newer(v.Report) {
+		return
+	}
+	if v.Status == 409 {
+		// Its session was not known to us: again with the right one.
+		m.session = max(m.session, v.Report.Session)
+		m.pushAt = c.now
+		return
+	}
+	if v.Report.Token <= c.tokenOf(m) {
+		c.takeIn(m, v.Report, false)
+	}
+}
+
+// push sends direct commands; none at all still raise the worker's token.
+// Starts never go this way: a copy held back by the network could be carried
+// out long after its attempt was forgotten.
+func (c *Core) push(m *machine, cmds []wire.Command) {
+	if m.addr == "" {
+		return
+	}
+	m.pushing = true
+	if cmds == nil {
+		cmds = []wire.Command{}
+	}
+	c.emit(Push{Machine: m.name, Addr: m.addr, Body: wire.Push{Token: c.tokenOf(m), Session: max(1, m.session), Commands: cmds}})
+}
+
+// maxOrders keeps an answer's one line below 64 KiB.
+const maxOrders = 400
+
+// takeIn takes in what a worker says of its tasks and gives the commands that
+// bring it to what is recorded. Only the answer to a report may start tasks,
+// and only a report proves a task absent: a direct command's answer may be
+// older than a start that rides in a report's answer.
+func (c *Core) takeIn(m *machine, r *wire.Report, viaReport bool) []wire.Command {
+	cmds := []wire.Command{}
+	order := func(op string, id taskID, attempt uint64, grace *float64) {
+		if len(cmds) < maxOrders {
+			cmds = append(cmds, wire.Command{Op: op, Task: id.String(), Attempt: attempt, GraceS: grace})
+		}
+	}
+	if r.Session > m.session {
+		m.images = nil
+		m.session = r.Session
+	}
+	m.seq, m.seenAt, m.reported = r.Seq, c.now, r.Tasks
+	if m.upAt == 0 {
+		m.upAt, m.idleAt = c.now, c.now
+		c.info("machine up", "machine", m.name, "type", m.rec.Type, "zone", m.rec.Zone, "spot", m.rec.Spot, "after_s", (c.now-m.bornAt)/Second)
+		c.early(0)
+	}
+	if r.Token == c.tokenOf(m) && !m.ready {
+		m.ready = true
+		c.early(0)
+	}
+	if r.NoticeS != nil && m.notice == 0 {
+		m.notice = c.now + secs(*r.NoticeS)
+		c.info("machine will be taken", "machine", m.name, "in_s", *r.NoticeS, "tasks", len(m.on))
+		c.early(0)
+	}
+	seen := map[taskID]bool{}
+	zero := 0.0
+	for _, tr := range r.Tasks {
+		id, ok := parseTask(tr.Task)
+		if !ok {
+			continue
+		}
+		j := c.jobs[id.job]
+		var t *task
+		if j != nil {
+			t = j.task(id.n)
+		}
+		mine := t != nil && t.state == placed && t.machine == m.name && t.attempt == tr.Attempt
+		if !mine {
+			switch {
+			case j != nil && !j.over && !j.durable(id.n):
+				// What is decided of it is being committed.
+			case tr.State == wire.Exited:
+				order(wire.Forget, id, tr.Attempt, nil)
+			default:
+				order(wire.Stop, id, tr.Attempt, &zero)
+			}
+			continue
+		}
+		seen[id] = true
+		t.shown = true
+		if tr.State == wire.Exited {
+			c.exited(j, id.n, t, m, tr)
+			continue
+		}
+		if t.reported != tr.State && (tr.State == wire.Running || tr.State == wire.Waiting) {
+			m.fetched(j.spec.Image, j.spec.ImageGB)
+			if tr.State == wire.Running {
+				t.since = c.now
+			}
+		}
+		t.reported = tr.State
+		if c.mustStop(j, t) {
+			if g := c.graceOf(j, t); tr.State != wire.Saving || g == 0 {
+				order(wire.Stop, id, tr.Attempt, &g)
+			}
+		}
+	}
+	for _, id := range m.tasks() {
+		if seen[id] {
+			continue
+		}
+		j := c.jobs[id.job]
+		t := j.task(id.n)
+		switch {
+		case !viaReport || !j.durable(id.n):
+		case t.shown || c.mustStop(j, t):
+			c.gone(j, id.n, "no longer reported")
+		case m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j)):
+			order(wire.Start, id, t.attempt, nil)
+		}
+	}
+	return cmds
+}
+
+func (m *machine) tasks() []taskID {
+	ids := make([]taskID, 0, len(m.on))
+	for id := range m.on {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b taskID) int {
+		if a.job != b.job {
+			if a.job < b.job {
+				return -1
+			}
+			return 1
+		}
+		return a.n - b.n
+	})
+	return ids
+}
+
+// gangDurable tells whether a gang is placed whole and committed so.
+func (c *Core) gangDurable(j *job) bool {
+	if j.nPlaced != j.spec.Tasks {
+		return false
+	}
+	for _, ch := range j.chunks {
+		if ch.gen > ch.kept {
+			return false
+		}
+	}
+	j.placing = false
+	return true
+}
+
+// broken tells whether a gang lost a task: the rest must go before it
+// starts again.
+func (j *job) broken() bool {
+	return j.spec.Kind == wire.Gang && !j.placing && j.nPlaced > 0 && j.nPlaced+j.nDone < j.spec.Tasks
+}
+
+func (c *Core) mustStop(j *job, t *task) bool { return j.cancelled || t.leaving > 0 || j.broken() }
+
+// graceOf is how long a task that must stop may save. What a cancelled or
+// broken job saved is of no use.
+func (c *Core) graceOf(j *job, t *task) float64 {
+	if j.cancelled || j.broken() || c.now > t.leaving+secs(t.grace+10) {
+		return 0
+	}
+	return t.grace
+}
+
+// fetched notes an image in the machine's cache, the latest used last.
+func (m *machine) fetched(name string, gb float64) {
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == name })
+	m.images = append(m.images, image{name, gb})
+	room := 0.0
+	if m.typ != nil {
+		room = m.typ.CacheGB
+	}
+	for i := len(m.images) - 1; i >= 0; i-- {
+		if room -= m.images[i].gb; room < 0 {
+			m.images = m.images[i+1:]
+			return
+		}
+	}
+}
+
+// exited takes in how a task ended.
+func (c *Core) exited(j *job, n int, t *task, m *machine, tr wire.TaskReport) {
+	attempt := t.attempt
+	if tr.Why == wire.Done && !j.cancelled {
+		m.errors, j.suspect = 0, false
+		clear(j.avoid)
+		m.fetched(j.spec.Image, j.spec.ImageGB)
+		c.change(j, n, done, attempt, "")
+		c.early(0)
+		return
+	}
+	c.change(j, n, queued, attempt, "")
+	t = j.task(n)
+	switch tr.Why {
+	case wire.Failed:
+		j.avoid[m.name] = true
+		if len(j.avoid) <= 2 && !j.suspect {
+			m.errors++ // else it may be the job's own fault
+		}
+		c.log(0, "task failed", "task", tr.Task, "machine", m.name, "job_failed_on", len(j.avoid), "machine_failures", m.errors)
+		if m.errors >= 2 && !m.sick {
+			m.sick = true
+			c.info("machine quarantined", "machine", m.name, "failures", m.errors)
+		}
+		if len(j.avoid) >= 3 {
+			// It fails wherever it runs: tried again ever more rarely.
+			j.suspect = true
+			j.backOff = min(60*Second, max(4*Second, 2*j.backOff))
+			j.holdOff = c.now + c.jitter(j.backOff)
+			clear(j.avoid)
+		}
+	case wire.NoRoom, wire.Busy, wire.NoSuch:
+		t.holdOff = c.now + 3*Second
+		c.log(0, "start refused", "task", tr.Task, "machine", m.name, "why", tr.Why)
+	}
+	c.early(0)
+}
+
+// gone takes in that a task is proven to be on its machine no more.
+func (c *Core) gone(j *job, n int, why string) {
+	t := j.task(n)
+	c.log(-4, "task gone", "job", j.id, "task", n, "machine", t.machine, "why", why)
+	c.change(j, n, queued, t.attempt, "")
+	c.early(0)
+}
+
+// leave tells a task to save, if it can, and stop.
+func (c *Core) leave(j *job, t *task, why string) {
+	if t.leaving > 0 {
+		return
+	}
+	t.leaving = c.now
+	if j.spec.CheckpointS > 0 {
+		t.grace = j.spec.SaveS + 1
+	}
+	c.info("task told to stop", "job", j.id, "machine", t.machine, "why", why)
+	if j.spec.Kind == wire.Gang {
+		// An orderly stop reaches all of a gang at once.
+		for _, n := range j.chunkList() {
+			for i := range j.chunks[n].tasks {
+				o := &j.chunks[n].tasks[i]
+				if o.state == placed {
+					o.leaving, o.grace = c.now, t.grace
+					if om := c.machines[o.machine]; om != nil {
+						om.pushAt = min(om.pushAt, c.now)
+					}
+				}
+			}
+		}
+	}
+	if m := c.machines[t.machine]; m != nil {
+		m.pushAt = min(m.pushAt, c.now)
+	}
+}
+
+// stops lists the commands for tasks here that must stop and have not begun to.
+func (c *Core) stops(m *machine) []wire.Command {
+	var cmds []wire.Command
+	for _, id := range m.tasks() {
+		j := c.jobs[id.job]
+		if t := j.task(id.n); t.shown && t.reported != wire.Saving && c.mustStop(j, t) && len(cmds) < maxOrders {
+			g := c.graceOf(j, t)
+			cmds = append(cmds, wire.Command{Op: wire.Stop, Task: id.String(), Attempt: t.attempt, GraceS: &g})
+		}
+	}
+	return cmds
+}
+
+// keepMachines looks after the machines of the parts that we hold.
+func (c *Core) keepMachines() {
+	silent, up := 0, 0
+	silence := secs(c.set.Ops.SilentS)
+	for _, name := range sorted(c.machines) {
+		m := c.machines[name]
+		p := c.ours(m)
+		if p == nil {
+			continue
+		}
+		if m.upAt > 0 {
+			up++
+			if c.now > m.seenAt+silence*2/3 {
+				silent++
+			}
+		}
+		if m.pushAt <= c.now && !m.pushing && c.answers(p) {
+			m.pushAt = c.now + 2*Second
+			if cmds := c.stops(m); !m.ready || cmds != nil {
+				c.push(m, cmds)
+			}
+		}
+	}
+	cut := up >= 2 && silent*2 > up
+	c.stepDown(up >= 2 && silent == up)
+	for _, name := range sorted(c.machines) {
+		m := c.machines[name]
+		if c.ours(m) != nil {
+			c.keepMachine(m, cut)
+		}
+	}
+}
+
+// stepDown gives our parts up when no worker reaches us although another
+// controller is well: the cut may be ours alone.
+func (c *Core) stepDown(alone bool) {
+	if !alone {
+		c.unreached = 0
+		return
+	}
+	if c.unreached == 0 {
+		c.unreached = c.now
+	}
+	able := false
+	for _, h := range c.hellos {
+		able = able || h.storeOK && c.now < h.at+3*Second
+	}
+	if c.now < c.unreached+2*Second || !able || c.now < c.stepBack {
+		return
+	}
+	c.unreached, c.stepBack = 0, c.now+20*Second
+	for _, p := range c.parts {
+		if p.held {
+			c.release(p, "no worker reaches this controller")
+		}
+	}
+}
+
+func (c *Core) keepMachine(m *machine, cut bool) {
+	if c.now > m.deadAt && len(m.on) > 0 {
+		c.info("machine's lease ran out", "machine", m.name, "tasks", len(m.on))
+		c.clear(m, "its lease ran out")
+	}
+	if m.rec.Gone {
+		if m.delOK && !m.busy {
+			c.clear(m, "deleted")
+			c.forgetMachine(m)
+		}
+		return
+	}
+	boot := 60.0
+	if m.typ != nil {
+		boot = m.typ.BootS
+	}
+	switch {
+	case m.upAt == 0 && c.now > m.bornAt+secs(boot*3+20) && c.now > m.waitFrom+secs(c.set.Ops.SilentS+8):
+		c.remove(m, "never came up")
+	case m.upAt > 0 && !cut && c.now > m.seenAt+secs(c.set.Ops.SilentS):
+		c.remove(m, "silent")
+	case m.notice > 0 || m.sick:
+		for _, id := range m.tasks() {
+			j := c.jobs[id.job]
+			if t := j.task(id.n); !m.sick && j.spec.CheckpointS > 0 && t.leaving == 0 {
+				c.leave(j, t, "the machine will be taken")
+			}
+		}
+		if len(m.on) == 0 && len(m.reported) == 0 {
+			c.remove(m, "drained")
+		}
+	case m.reclaim:
+		for _, id := range m.tasks() {
+			j := c.jobs[id.job]
+			if t := j.task(id.n); j.spec.CheckpointS > 0 {
+				c.leave(j, t, "borrowed machine reclaimed")
+			}
+		}
+		if len(m.on) == 0 && m.ready {
+			c.lend(m, m.rec.Home)
+		}
+	case m.ready && len(m.on) == 0 && m.claim == "" && c.now > m.idleAt+secs(c.set.Ops.IdleReturnS) && c.now > m.bornAt+50*Second:
+		c.remove(m, "idle")
+	}
+	if m.claim != "" && (c.now > m.claimTo || c.jobs[m.claim] == nil || c.jobs[m.claim].nPlaced > 0) {
+		m.claim = ""
+	}
+}
+
+// clear takes in that all on a machine is gone.
+func (c *Core) clear(m *machine, why string) {
+	for _, id := range m.tasks() {
+		if j := c.jobs[id.job]; j != nil && c.parts[j.part].held {
+			c.gone(j, id.n, why)
+		}
+	}
+}
+
+// remove marks a machine for deletion: from then on it is never used again,
+// by whoever holds its part.
+func (c *Core) remove(m *machine, why string) {
+	if m.busy || m.rec.Gone {
+		return
+	}
+	c.info("machine returned", "machine", m.name, "type", m.rec.Type, "why", why, "tasks", len(m.on), "age_s", (c.now-m.bornAt)/Second)
+	rec := m.rec
+	rec.Gone = true
+	c.putMachine(m, rec)
+}
+
+// orphans takes tasks off machines that have no record: a record goes only
+// once all on the machine is proven gone.
+func (c *Core) orphans() {
+	for _, id := range sorted(c.jobs) {
+		j := c.jobs[id]
+		if !c.parts[j.part].held || j.nPlaced == 0 {
+			continue
+		}
+		for _, k := range j.chunkList() {
+			for i := range j.chunks[k].tasks {
+				if t := &j.chunks[k].tasks[i]; t.state == placed && c.machines[t.machine] == nil {
+					c.gone(j, k*chunkSize+i, "its machine's record is gone")
+				}
+			}
+		}
+	}
+}
+
+// buried remembers a machine whose record was deleted, so that lagging lists
+// do not bring it back.
+func (c *Core) buried(name string) {
+	if len(c.graves) > 2000 {
+		for n, at := range c.graves {
+			if c.now > at+120*Second {
+				delete(c.graves, n)
+			}
+		}
+	}
+	c.graves[name] = c.now
+}
+
+// lend moves an empty machine to another part.
+func (c *Core) lend(m *machine, to int) {
+	if m.busy || m.rec.Gone || len(m.on) > 0 || to == m.rec.Cur || to < 0 || to >= len(c.parts) {
+		return
+	}
+	c.info("machine lent", "machine", m.name, "from", m.rec.Cur, "to", to, "home", m.rec.Home)
+	rec := m.rec
+	rec.Cur = to
+	m.lendTo = to
+	c.putMachine(m, rec)
+}
+
+func (c *Core) putMachine(m *machine, rec machineRecord) {
+	m.busy = true
+	p := c.parts[m.rec.Cur]
+	key := machKey + m.name
+	value := mustJSON(rec)
+	free := func() { m.busy, m.lendTo = false, -1 }
+	c.guarded(p, []wire.Guard{{Key: key, Version: m.ver}}, []wire.Write{{Put: key, Value: value}}, func(rev uint64) {
+		free()
+		c.applyOwn(key, value, rev)
+	}, free)
+}
+
+// forgetMachine deletes the record of a machine that is gone with its tasks.
+func (c *Core) forgetMachine(m *machine) {
+	m.busy = true
+	key := machKey + m.name
+	free := func() { m.busy = false }
+	// Its tasks are recorded as gone first, or in the same breath: a task
+	// whose machine has no record is taken to be gone.
+	c.guarded(c.parts[m.rec.Cur], []wire.Guard{{Key: key, Version: m.ver}}, []wire.Write{{Delete: key}}, func(uint64) {
+		c.read(func(bool) { free() })
+	}, free)
+}
+
+// applyOwn takes in what we wrote, unless the mirror is past it already: the
+// key may have been deleted since.
+func (c *Core) applyOwn(key string, value []byte, rev uint64) {
+	if rev > c.rev {
+		c.apply(key, value, rev)
+	}
+}
+
+// newMachine records a rented or stray machine.
+func (c *Core) newMachine(p *part, name string, rec machineRecord, then func()) {
+	key := machKey + name
+	value := mustJSON(rec)
+	c.guarded(p, []wire.Guard{{Key: key}}, []wire.Write{{Put: key, Value: value}}, func(rev uint64) {
+		c.applyOwn(key, value, rev)
+		then()
+	}, then)
+}
+
+// kindOf is what a machine was rented as.
+func (m *machine) kindOf() sched.Kind {
+	return sched.Kind{Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot}
+}
+
+func (k kindName) String() string {
+	return fmt.Sprintf("%s/%s/spot=%t", k.Type, k.Zone, k.Spot)
+}
+
+type kindName sched.Kind
--- /dev/null
+++ b/internal/core/parts.go
@@ -0,0 +1,211 @@
+package core
+
+import (
+	"slices"
+	"strconv"
+
+	"spurmoor/internal/sched"
+	"spurmoor/internal/wire"
+)
+
+// part is a share of the teams, held by one controller at a time. Its term
+// is the version of its key at take-over.
+type part struct {
+	idx      int
+	rec      partRecord
+	ver      uint64
+	held     bool
+	freeAt   int64
+	taking   bool
+	tookAt   int64
+	sweeping bool
+	sweepAt  int64
+	started  bool               // something was placed since take-over
+	rents    map[sched.Kind]int // asked for and not recorded yet
+}
+
+func (p *part) key() string { return partKey + strconv.Itoa(p.idx) }
+
+// Our lease, and how long its holder may act on it.
+func (c *Core) ttl() int64 { return secs(c.set.Ops.HoldTTLS) }
+
+// horizon is how long after the last renewal a holder still answers reports:
+// a task that is kept alive by an answer given then, though its job was
+// cancelled elsewhere, is gone within cancel_s all the same.
+func (c *Core) horizon() int64 {
+	w := c.set.Facts.Workers
+	return min(secs(w.CancelS-w.LeaseS*1.002-3), 40*Second)
+}
+
+// leaseBound is how long after a take-over a worker that the holder before
+// may have answered can have kept its tasks.
+func (c *Core) leaseBound() int64 {
+	return max(0, c.horizon()-c.ttl()) + c.leaseS() + Second
+}
+
+// leaseS is the workers' lease by a clock that runs slow.
+func (c *Core) leaseS() int64 { return secs(c.set.Facts.Workers.LeaseS * 1.002) }
+
+// answers tells whether we may answer reports for a part.
+func (c *Core) answers(p *part) bool {
+	return p.held && c.leasedAt > 0 && c.now < c.leasedAt+c.horizon()
+}
+
+func (c *Core) keepLease() {
+	if c.renewing || c.now < c.renewAt {
+		return
+	}
+	c.renewing = true
+	sent := c.now
+	call := StoreCall{Op: OpExtend, Lease: c.lease, Urgent: true}
+	if c.lease == 0 {
+		call = StoreCall{Op: OpHold, TTLMs: c.ttl() / 1000, Urgent: true}
+	}
+	c.callStore(call, func(r *StoreReply) {
+		c.renewing = false
+		c.renewAt = c.now + c.ttl()/4
+		switch {
+		case r.Status == 200:
+			if c.lease == 0 {
+				c.lease = r.Lease
+			}
+			c.leasedAt = sent
+		case r.Status == 404:
+			c.info("lease lost", "lease", c.lease)
+			c.lease, c.leasedAt = 0, 0
+			c.renewAt = c.now
+			for _, p := range c.parts {
+				if p.held {
+					c.lose(p, "our lease ended")
+				}
+			}
+		default:
+			c.renewAt = c.now + c.jitter(Second/2)
+		}
+	})
+}
+
+// partChanged takes in a part's key; version 0: it has none.
+func (c *Core) partChanged(p *part, rec partRecord, ver uint64) {
+	mine := ver > 0 && rec.Node == c.set.Node && rec.Inc == c.inc && c.lease != 0
+	if p.held && (!mine || ver != p.ver) {
+		c.lose(p, "taken or expired")
+	}
+	p.rec, p.ver = rec, ver
+	if ver == 0 {
+		p.freeAt = c.now
+	}
+	if mine && !p.held {
+		p.held, p.tookAt, p.started = true, c.now, false
+		c.info("part taken over", "part", p.idx, "term", ver)
+		for _, name := range sorted(c.machines) {
+			if m := c.machines[name]; m.rec.Cur == p.idx {
+				m.forgetSeen(c)
+			}
+		}
+		for _, id := range sorted(c.jobs) {
+			if c.jobs[id].part == p.idx {
+				c.dirty[id] = true
+			}
+		}
+		c.orphans()
+		c.early(Second / 5)
+	}
+}
+
+// forgetSeen starts over with a machine that came to us from another holder:
+// that one may have told its worker 200 until now.
+func (m *machine) forgetSeen(c *Core) {
+	m.ready, m.token, m.pushAt, m.pushing = false, 0, c.now, false
+	m.deadAt = max(m.deadAt, c.now+c.leaseBound())
+	m.seenAt, m.waitFrom = max(m.seenAt, c.now), c.now
+	m.idleAt = c.now
+	m.delSent, m.delOK = false, false
+	m.lendTo, m.reclaim, m.busy = -1, false, false
+}
+
+// lose stops acting for a part and throws away what was not committed.
+func (c *Core) lose(p *part, why string) {
+	p.held = false
+	p.freeAt = c.now
+	c.info("part lost", "part", p.idx, "why", why)
+	c.abandon(p)
+	for _, id := range sorted(c.jobs) {
+		j := c.jobs[id]
+		if j.part != p.idx {
+			continue
+		}
+		j.placing = false
+		for _, n := range j.chunkList() {
+			if ch := j.chunks[n]; ch.gen > ch.kept {
+				c.reload(j, n)
+			}
+		}
+	}
+}
+
+// rank is how far down the order of takers of a part a node stands.
+func (c *Core) rank(p *part, node string) int {
+	n := len(c.set.Nodes)
+	return (slices.Index(c.set.Nodes, node) - p.idx%n + n) % n
+}
+
+func (c *Core) keepParts() {
+	if !c.synced {
+		return
+	}
+	for _, p := range c.parts {
+		switch {
+		case p.held:
+			c.sweep(p)
+			c.handBack(p)
+		case p.taking || c.lease == 0 || c.now >= c.leasedAt+c.ttl()/2 || c.now < c.stepBack:
+		case p.ver > 0 && p.rec.Node == c.set.Node:
+			c.take(p) // of an earlier process of ours
+		case p.ver == 0 && c.now >= p.freeAt+int64(c.rank(p, c.set.Node))*3*Second/2:
+			c.take(p)
+		}
+	}
+}
+
+func (c *Core) take(p *part) {
+	p.taking = true
+	rec := partRecord{Node: c.set.Node, Inc: c.inc}
+	t := &txn{part: -1, req: wire.Txn{If: []wire.Guard{{Key: p.key(), Version: p.ver}},
+		Then: []wire.Write{{Put: p.key(), Value: mustJSON(rec), Lease: c.lease}}}}
+	free := func() { p.taking = false; p.freeAt = max(p.freeAt, c.now-Second) }
+	// Held only once the mirror shows it: then it shows all before it too.
+	t.ok = func(uint64) { c.read(func(bool) { free() }) }
+	t.failed = free
+	c.txns = append(c.txns, t)
+	c.sendTxn(t)
+}
+
+// handBack returns a part to the controller that it belongs to by default,
+// once that one has been well for a while.
+func (c *Core) handBack(p *part) {
+	owner := c.set.Nodes[p.idx%len(c.set.Nodes)]
+	h := c.hellos[owner]
+	if owner == c.set.Node || c.now < p.tookAt+15*Second || h == nil || !h.storeOK || c.now > h.at+3*Second || c.now < h.since+8*Second {
+		return
+	}
+	for _, t := range c.txns {
+		if t.part == p.idx {
+			return
+		}
+	}
+	c.release(p, "handed back to "+owner)
+}
+
+// release gives a part up. We stop answering for it before the key goes.
+func (c *Core) release(p *part, why string) {
+	ver := p.ver
+	c.lose(p, why)
+	p.freeAt = c.now + 3*Second
+	t := &txn{part: -1, ok: func(uint64) {}, failed: func() {}}
+	t.req.If = []wire.Guard{{Key: p.key(), Version: ver}}
+	t.req.Then = []wire.Write{{Delete: p.key()}}
+	p.rec = partRecord{} // not ours any more, whatever the mirror still says
+	c.txns = append(c.txns, t)
+	c.sendTxn(t)
+}
--- /dev/null
+++ b/internal/core/plan.go
@@ -0,0 +1,361 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"spurmoor/internal/peer"
+	"spurmoor/internal/sched"
+	"spurmoor/internal/wire"
+)
+
+// early wants a cycle no later than d from now.
+func (c *Core) early(d int64) {
+	if at := c.now + d; c.wantCycle == 0 || at < c.wantCycle {
+		c.wantCycle = at
+	}
+}
+
+// cycle ranks and places for every part that we hold: every cycle_s, and
+// early when something arrived or ended.
+func (c *Core) cycle() {
+	if !c.synced || c.now < c.cycleAt && (c.wantCycle == 0 || c.now < c.wantCycle) {
+		return
+	}
+	c.cycleAt, c.wantCycle = c.now+secs(c.set.Ops.CycleS), 0
+	c.asks = nil
+	c.why = map[string]string{}
+	if len(c.types) == 0 {
+		return
+	}
+	for _, p := range c.parts {
+		if p.held {
+			c.plan(p)
+		}
+	}
+}
+
+// busyFor is when a task on a machine is expected to end.
+func (c *Core) busyFor(j *job, t *task, m *machine) int64 {
+	est := secs(j.spec.EstimateS)
+	end := t.placedAt + est + secs(j.spec.ImageGB/max(0.01, m.typ.FetchGBs))
+	if t.since > 0 {
+		end = t.since + est
+	}
+	if t.leaving > 0 {
+		end = min(end, t.leaving+secs(t.grace+1))
+	}
+	// Overdue: the estimate was wrong; the longer it lasts the longer it may.
+	return max(end, c.now+Second+(c.now-t.placedAt)/5)
+}
+
+func (c *Core) lostBy(j *job, t *task) int64 {
+	if j.spec.CheckpointS > 0 {
+		return secs(j.spec.SaveS) + secs(5)
+	}
+	if t.since == 0 {
+		return 0
+	}
+	return c.now - t.since
+}
+
+// view shows a part to the planner.
+func (c *Core) view(p *part) (*sched.View, map[string]*job) {
+	v := &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops}
+	for _, t := range c.set.Facts.Teams {
+		if c.set.TeamPart[t.Name] == p.idx {
+			v.Teams[t.Name] = &sched.Team{Used: *c.usage[t.Name], Guarantee: sched.ResOf(t.CPUs, t.GPUs, 0), Limit: sched.ResOf(t.CPUsMax, t.GPUsMax, 0)}
+		}
+	}
+	for k, until := range c.refused {
+		if c.now < until {
+			v.Refused[k] = true
+		} else {
+			delete(c.refused, k)
+		}
+	}
+	jobs := map[string]*job{}
+	shown := map[string]*sched.Job{}
+	for _, id := range sorted(c.jobs) {
+		j := c.jobs[id]
+		if j.part != p.idx || j.over || j.cancelled {
+			continue
+		}
+		sj := &sched.Job{ID: id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: j.suspect}
+		for z, n := range j.zones {
+			sj.InZone[z] = n
+		}
+		if !j.busy && c.now >= j.holdOff && !(j.spec.Kind == wire.Gang && j.nPlaced > 0) {
+			sj.Pending = len(j.waiting(c.now, 500))
+			if j.spec.Kind == wire.Gang && sj.Pending > 0 {
+				sj.Pending = j.spec.Tasks
+			}
+		}
+		jobs[id], shown[id] = j, sj
+		v.Jobs = append(v.Jobs, sj)
+	}
+	for _, name := range sorted(c.machines) {
+		m := c.machines[name]
+		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 {
+			continue
+		}
+		total := sched.ResOf(m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB)
+		sm := &sched.Machine{Name: name, Type: m.typ, Zone: m.rec.Zone, Spot: m.rec.Spot, Total: total, Free: total.Add(m.used, -1), Claim: m.claim, Images: map[string]bool{}}
+		if m.rec.Cur != p.idx {
+			if m.rec.Home == p.idx && !c.idleAbroad(name) {
+				// Lent out: ours again once its tasks have saved.
+				sm.Free, sm.Borrowable, sm.ReadyAt = total, true, c.now+20*Second
+				v.Machines = append(v.Machines, sm)
+			} else if c.idleAbroad(name) {
+				sm.Borrowable, sm.ReadyAt = true, c.now+2*Second
+				v.Machines = append(v.Machines, sm)
+			}
+			continue
+		}
+		if m.busy || m.lendTo >= 0 || m.reclaim {
+			continue
+		}
+		for _, i := range m.images {
+			sm.Images[i.name] = true
+		}
+		sm.Usable = m.ready && c.now < m.seenAt+8*Second
+		switch {
+		case sm.Usable:
+		case m.upAt == 0 && m.bornAt+secs(m.typ.BootS*2) > c.now:
+			sm.ReadyAt = max(c.now+2*Second, m.bornAt+secs(m.typ.BootS))
+		case m.upAt > 0 && c.now < m.seenAt+8*Second:
+			sm.ReadyAt = c.now + 3*Second
+		default:
+			continue
+		}
+		for _, id := range m.tasks() {
+			j := c.jobs[id.job]
+			t := j.task(id.n)
+			if sj := shown[id.job]; sj != nil {
+				sm.Uses = append(sm.Uses, sched.Use{Job: sj, Index: id.n, Need: j.need, End: c.busyFor(j, t, m), Lost: c.lostBy(j, t), Leaving: t.leaving > 0})
+			} else {
+				sm.Uses = append(sm.Uses, sched.Use{Index: -1, Need: j.need, End: c.now + 3*Second})
+			}
+		}
+		v.Machines = append(v.Machines, sm)
+	}
+	kinds := make([]sched.Kind, 0, len(p.rents))
+	for k := range p.rents {
+		kinds = append(kinds, k)
+	}
+	slices.SortFunc(kinds, func(a, b sched.Kind) int { return cmp.Compare(kindName(a).String(), kindName(b).String()) })
+	for _, k := range kinds {
+		if t := c.typeOf[k.Type]; t != nil {
+			total := sched.ResOf(t.CPUs, t.GPUs, t.MemoryGB)
+			for range p.rents[k] {
+				v.Machines = append(v.Machines, &sched.Machine{Type: t, Zone: k.Zone, Spot: k.Spot, Total: total, Free: total, ReadyAt: c.now + secs(t.BootS)})
+			}
+		}
+	}
+	return v, jobs
+}
+
+// waiting lists tasks that may be placed now.
+func (j *job) waiting(now int64, most int) []int {
+	var list []int
+	for k := 0; k*chunkSize < j.spec.Tasks; k++ {
+		ch := j.chunks[k]
+		for n := k * chunkSize; n < min(j.spec.Tasks, (k+1)*chunkSize); n++ {
+			if len(list) >= most && j.spec.Kind != wire.Gang {
+				return list
+			}
+			if ch == nil || ch.tasks == nil {
+				list = append(list, n)
+			} else if t := &ch.tasks[n%chunkSize]; t.state == queued && now >= t.holdOff {
+				list = append(list, n)
+			}
+		}
+	}
+	if j.spec.Kind == wire.Gang && len(list) < j.spec.Tasks {
+		return nil
+	}
+	return list
+}
+
+// plan makes and carries out one part's plan.
+func (c *Core) plan(p *part) {
+	v, jobs := c.view(p)
+	plan := sched.Make(v)
+	next := map[string][]int{}
+	for _, s := range plan.Starts {
+		j := jobs[s.Job.ID]
+		if _, ok := next[j.id]; !ok {
+			next[j.id] = j.waiting(c.now, 500)
+			if j.spec.Kind == wire.Gang {
+				j.placing = true
+			}
+		}
+		n := next[j.id][0]
+		next[j.id] = next[j.id][1:]
+		attempt := uint64(1)
+		if t := j.task(n); t != nil {
+			attempt = t.attempt + 1
+		}
+		if j.spec.Kind == wire.Gang {
+			attempt = j.lastAttempt() + 1
+			if n > 0 && j.task(0) != nil && j.task(0).state == placed {
+				attempt = j.task(0).attempt
+			}
+		}
+		c.change(j, n, placed, attempt, s.Machine.Name)
+		if m := c.machines[s.Machine.Name]; m.claim == j.id {
+			m.claim = ""
+		}
+		p.started = true
+	}
+	for _, e := range plan.Evictions {
+		m := c.machines[e.Machine.Name]
+		m.claim, m.claimTo = e.For.ID, c.now+40*Second
+		c.info("room made", "for", e.For.ID, "machine", m.name, "tasks", len(e.Uses))
+		for _, u := range e.Uses {
+			j := c.jobs[u.Job.ID]
+			c.leave(j, j.task(u.Index), "room for "+e.For.ID)
+		}
+	}
+	for _, r := range plan.Rentals {
+		c.rent(p, r.Kind, r.Count)
+	}
+	for _, m := range plan.Borrow {
+		rec := c.machines[m.Name].rec
+		c.asks = append(c.asks, peer.Ask{Machine: m.Name, Part: p.idx, Reclaim: rec.Home == p.idx})
+	}
+	if len(plan.Borrow) > 0 {
+		c.helloAt = c.now
+		c.heed(c.asks)
+	}
+	for id, why := range plan.Why {
+		c.why[id] = why
+	}
+}
+
+func (j *job) lastAttempt() uint64 {
+	var last uint64
+	for _, ch := range j.chunks {
+		for i := range ch.tasks {
+			last = max(last, ch.tasks[i].attempt)
+		}
+	}
+	return last
+}
+
+// idle lists machines of ours that another part may borrow.
+func (c *Core) idle() []peer.Idle {
+	var list []peer.Idle
+	for _, name := range sorted(c.machines) {
+		if m := c.machines[name]; c.lendable(m) && c.now > m.idleAt+3*Second/2 {
+			list = append(list, peer.Idle{Machine: name})
+		}
+	}
+	return list
+}
+
+func (c *Core) lendable(m *machine) bool {
+	return c.ours(m) != nil && m.ready && len(m.on) == 0 && len(m.reported) == 0 && !m.busy && !m.rec.Gone && !m.sick &&
+		m.notice == 0 && m.claim == "" && c.now < m.seenAt+8*Second
+}
+
+// idleAbroad tells whether a machine of another part may be borrowed.
+func (c *Core) idleAbroad(name string) bool {
+	m := c.machines[name]
+	if c.ours(m) != nil {
+		return c.lendable(m) && c.now > m.idleAt+3*Second/2
+	}
+	for _, h := range c.hellos {
+		if c.now < h.at+3*Second && slices.Contains(h.idle, peer.Idle{Machine: name}) {
+			return true
+		}
+	}
+	return false
+}
+
+// heed moves the machines that others ask for, where we hold them.
+func (c *Core) heed(asks []peer.Ask) {
+	for _, a := range asks {
+		m := c.machines[a.Machine]
+		if m == nil || c.ours(m) == nil || m.rec.Cur == a.Part || a.Part < 0 || a.Part >= len(c.parts) {
+			continue
+		}
+		if c.lendable(m) {
+			c.lend(m, a.Part)
+		} else if a.Reclaim && m.rec.Home == a.Part && !m.reclaim && m.upAt > 0 {
+			c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
+			m.reclaim = true
+		}
+	}
+}
+
+// sayHello tells the other controllers how we are and what we want.
+func (c *Core) sayHello() {
+	if c.now < c.helloAt {
+		return
+	}
+	c.helloAt = c.now + Second
+	able := c.synced && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
+	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks}})
+}
+
+func (c *Core) hello(h *peer.Hello) {
+	if !slices.Contains(c.set.Nodes, h.Node) || h.Node == c.set.Node {
+		return
+	}
+	was := c.hellos[h.Node]
+	if was == nil || c.now > was.at+4*Second || !was.storeOK {
+		was = &heard{since: c.now}
+		c.hellos[h.Node] = was
+	}
+	was.at, was.storeOK, was.idle = c.now, h.StoreOK, h.Idle
+	if c.synced {
+		c.heed(h.Asks)
+	}
+}
+
+// summary says now and then how things stand and why the first blocked jobs
+// of each team wait.
+func (c *Core) summary() {
+	if c.now < c.summaryAt {
+		return
+	}
+	c.summaryAt = c.now + 30*Second
+	if !c.synced {
+		return
+	}
+	var parts []int
+	for _, p := range c.parts {
+		if p.held {
+			parts = append(parts, p.idx)
+		}
+	}
+	up, idle, waiting, on := 0, 0, 0, 0
+	for _, m := range c.machines {
+		if c.ours(m) == nil {
+			continue
+		}
+		if m.upAt > 0 {
+			up++
+			if len(m.on) == 0 {
+				idle++
+			}
+		}
+		on += len(m.on)
+	}
+	for _, j := range c.jobs {
+		if c.parts[j.part].held && j.nPlaced+j.nDone < j.spec.Tasks {
+			waiting++
+		}
+	}
+	c.info("summary", "parts", parts, "machines_up", up, "machines_idle", idle, "tasks_on", on, "jobs", len(c.jobs), "jobs_waiting", waiting, "revision", c.rev)
+	told := map[string]int{}
+	for _, id := range sorted(c.why) {
+		j := c.jobs[id]
+		if j == nil || told[j.spec.Team] >= 2 {
+			continue
+		}
+		told[j.spec.Team]++
+		c.info("job waits", "job", id, "team", j.spec.Team, "for_s", (c.now-j.at)/Second, "why", c.why[id])
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,52 @@
+// Package peer holds what controllers tell each other, in msgpack.
+package peer
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Version of the form; a message of another version is refused.
+const Version = 1
+
+// Idle is a machine its holder would lend.
+type Idle struct {
+	Machine string
+}
+
+// Ask wants a machine moved to a part: an idle one borrowed, or a home
+// machine reclaimed.
+type Ask struct {
+	Machine string
+	Part    int
+	Reclaim bool
+}
+
+// Hello is sent to every other controller about once a second. It says
+// nothing that safety rests on: each move is a conditional write.
+type Hello struct {
+	V       int
+	Node    string
+	StoreOK bool
+	Idle    []Idle
+	Asks    []Ask
+}
+
+// Encode gives the message's bytes.
+func Encode(h *Hello) ([]byte, error) {
+	h.V = Version
+	return msgpack.Marshal(h)
+}
+
+// Decode reads a message.
+func Decode(b []byte) (*Hello, error) {
+	h := &Hello{}
+	if err := msgpack.Unmarshal(b, h); err != nil {
+		return nil, fmt.Errorf("peer message: %w", err)
+	}
+	if h.V != Version || h.Node == "" {
+		return nil, fmt.Errorf("peer message: version %d, from %q", h.V, h.Node)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,704 @@
+// Package sched decides what runs where: the design's weighted ranking,
+// rank-order placement with a reservation and backfill, the choice of whom to
+// stop, and the demand for machines. It is pure: a View in, a Plan out.
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// Second is one second in the whole microseconds that all times are in.
+const Second int64 = 1_000_000
+
+// Res is an amount of resources, in thousandths.
+type Res struct{ CPU, GPU, Mem int64 }
+
+// ResOf turns the wire's decimal amounts into thousandths.
+func ResOf(cpus, gpus, mem float64) Res {
+	m := func(v float64) int64 { return int64(math.Round(v * 1000)) }
+	return Res{m(cpus), m(gpus), m(mem)}
+}
+
+// Add gives r + k·o.
+func (r Res) Add(o Res, k int64) Res {
+	return Res{r.CPU + k*o.CPU, r.GPU + k*o.GPU, r.Mem + k*o.Mem}
+}
+
+// Fits tells whether o fits into r.
+func (r Res) Fits(o Res) bool { return o.CPU <= r.CPU && o.GPU <= r.GPU && o.Mem <= r.Mem }
+
+// Times tells how often o fits into r.
+func (r Res) Times(o Res) int {
+	n := int64(1 << 30)
+	for _, p := range [][2]int64{{r.CPU, o.CPU}, {r.GPU, o.GPU}, {r.Mem, o.Mem}} {
+		if p[1] > 0 {
+			n = min(n, max(0, p[0])/p[1])
+		}
+	}
+	return int(n)
+}
+
+// Use is a task on a machine.
+type Use struct {
+	Job     *Job
+	Index   int
+	Need    Res
+	End     int64 // expected, by the owner's estimate
+	Lost    int64 // work lost if it is stopped now
+	Leaving bool  // told to stop already
+}
+
+// Machine is a machine of the part.
+type Machine struct {
+	Name       string
+	Type       *wire.MachineType
+	Zone       string
+	Spot       bool
+	Total      Res
+	Free       Res
+	Usable     bool  // may be given tasks now
+	ReadyAt    int64 // of a booting machine: when it is expected
+	Borrowable bool  // another part's idle machine: may be asked for
+	Claim      string
+	Images     map[string]bool
+	Uses       []Use
+	Slow       bool
+}
+
+// Job is an unfinished job of the part.
+type Job struct {
+	ID       string
+	Spec     *wire.Job
+	Need     Res
+	At       int64 // accepted
+	Pending  int   // tasks to place, those held back by a back-off not counted
+	InZone   map[string]int
+	Avoid    map[string]bool // machines
+	Deprior  bool            // failing everywhere: it must not take room first
+	score    float64
+	blocked  int
+	Capacity int // tasks that the team's limit still admits
+}
+
+// Team is a team's share of the part.
+type Team struct {
+	Used, Guarantee, Limit Res // a zero amount in Limit or Guarantee: none
+}
+
+// Kind is a thing to rent.
+type Kind struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// View is what a plan is made from.
+type View struct {
+	Now      int64
+	Types    []wire.MachineType
+	Machines []*Machine
+	Jobs     []*Job
+	Teams    map[string]*Team
+	Refused  map[Kind]bool
+	Ops      *settings.Operators
+	NoRent   bool
+}
+
+// Start puts one task of a job on a machine.
+type Start struct {
+	Job     *Job
+	Machine *Machine
+}
+
+// Eviction stops tasks so that a job gets their machine.
+type Eviction struct {
+	For     *Job
+	Machine *Machine
+	Uses    []Use
+}
+
+// Rental is a demand for machines.
+type Rental struct {
+	Kind  Kind
+	Count int
+}
+
+// Plan is what to do.
+type Plan struct {
+	Starts    []Start
+	Evictions []Eviction
+	Rentals   []Rental
+	Borrow    []*Machine
+	Why       map[string]string // job → why it waits
+}
+
+type planner struct {
+	*View
+	plan     Plan
+	types    map[string]*wire.MachineType
+	reserved map[*Machine]int64
+	resFor   map[*Machine]*Job
+}
+
+// Make plans one cycle.
+func Make(v *View) *Plan {
+	p := &planner{View: v, types: map[string]*wire.MachineType{}, reserved: map[*Machine]int64{}, resFor: map[*Machine]*Job{}}
+	p.plan.Why = map[string]string{}
+	for i := range v.Types {
+		p.types[v.Types[i].Name] = &v.Types[i]
+	}
+	p.rank()
+	var blocked []*Job
+	for _, j := range p.Jobs {
+		if j.Pending == 0 {
+			continue
+		}
+		left := p.place(j)
+		if left == 0 {
+			continue
+		}
+		j.blocked = left
+		if len(blocked) == 0 && !j.Deprior {
+			p.reserve(j)
+		}
+		blocked = append(blocked, j)
+	}
+	p.evict(blocked)
+	if !v.NoRent {
+		p.demand(blocked)
+	}
+	return &p.plan
+}
+
+// Allowed tells whether a job may run on this type, zone and kind at all.
+func Allowed(j *wire.Job, typ, zone string, spot bool) bool {
+	return (j.Types == nil || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
+}
+
+func (p *planner) fetch(j *Job, t *wire.MachineType) int64 {
+	if t == nil || t.FetchGBs <= 0 {
+		return 0
+	}
+	return int64(j.Spec.ImageGB / t.FetchGBs * float64(Second))
+}
+
+// rank sorts the jobs by the design's weighted sum.
+func (p *planner) rank() {
+	w := p.Ops.Weights
+	var queued, running float64
+	zones := map[string]bool{}
+	var part Res
+	for _, m := range p.Machines {
+		zones[m.Zone] = true
+		part = part.Add(m.Total, 1)
+		for _, u := range m.Uses {
+			running += float64(max(0, u.End-p.Now))
+		}
+	}
+	for _, j := range p.Jobs {
+		queued += float64(j.Pending) * j.Spec.EstimateS * float64(Second)
+	}
+	backlog := 1.0
+	if running > 0 {
+		backlog = math.Min(1, queued/running)
+	}
+	for _, j := range p.Jobs {
+		wait := math.Log(1 + float64(max(0, p.Now-j.At))/float64(Second)/p.Ops.ReferenceWaitS)
+		deficit := 0.0
+		if t := p.Teams[j.Spec.Team]; t != nil {
+			target, used := float64(t.Guarantee.GPU), float64(t.Used.GPU)
+			if target == 0 {
+				target, used = float64(t.Guarantee.CPU), float64(t.Used.CPU)
+			}
+			if target == 0 {
+				target, used = float64(part.CPU)/float64(max(1, len(p.Teams))), float64(t.Used.CPU)
+			}
+			if target > 0 {
+				deficit = math.Max(0, target-used) / target
+			}
+		}
+		fit := 0.5
+		if n := len(zones); n > 0 {
+			need := 1
+			if j.Spec.Spread && j.Spec.Tasks > 1 {
+				need = 2
+			}
+			fit = math.Max(0, 1-float64(need)/float64(n))
+		}
+		ready, could := 0, 0
+		for _, m := range p.Machines {
+			if m.Usable && Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+				could++
+				if m.Images[j.Spec.Image] {
+					ready++
+				}
+			}
+		}
+		readiness := 0.0
+		if could > 0 {
+			readiness = float64(ready) / float64(could)
+		}
+		j.score = w.Priority*float64(wire.Tier(j.Spec.Priority)) + w.Wait*wait + w.Deficit*deficit +
+			w.ZoneFit*fit + w.Readiness*readiness + w.Backlog*backlog
+		if j.Deprior {
+			// Exception: a high-tier job that fails on every machine would
+			// top each cycle and take room first.
+			j.score -= 100
+		}
+	}
+	slices.SortStableFunc(p.Jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// perZone is how many more of the job's tasks a zone may take.
+func (j *Job) perZone(zone string) int {
+	if j.Spec.OneZone {
+		for z, n := range j.InZone {
+			if n > 0 && z != zone {
+				return 0
+			}
+		}
+	}
+	if j.Spec.Spread {
+		return (j.Spec.Tasks+1)/2 - j.InZone[zone]
+	}
+	return j.Spec.Tasks
+}
+
+// usable tells whether the machine may take a task of the job now.
+func (p *planner) usable(j *Job, m *Machine) bool {
+	if !m.Usable || m.Borrowable || j.Avoid[m.Name] || !m.Free.Fits(j.Need) ||
+		!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) || (m.Claim != "" && m.Claim != j.ID) {
+		return false
+	}
+	if at, ok := p.reserved[m]; ok && p.resFor[m] != j {
+		end := p.Now + int64(j.Spec.EstimateS*float64(Second))
+		if !m.Images[j.Spec.Image] {
+			end += p.fetch(j, m.Type)
+		}
+		return j.Spec.Kind != wire.Daemon && end <= at
+	}
+	return true
+}
+
+func (p *planner) put(j *Job, m *Machine) {
+	m.Free = m.Free.Add(j.Need, -1)
+	j.InZone[m.Zone]++
+	j.Pending--
+	j.Capacity--
+	if t := p.Teams[j.Spec.Team]; t != nil {
+		t.Used = t.Used.Add(j.Need, 1)
+	}
+	end := p.Now + int64(j.Spec.EstimateS*float64(Second))
+	if !m.Images[j.Spec.Image] {
+		end += p.fetch(j, m.Type)
+	}
+	m.Uses = append(m.Uses, Use{Job: j, Index: -1, Need: j.Need, End: end})
+	p.plan.Starts = append(p.plan.Starts, Start{j, m})
+}
+
+// place starts what fits of a job and tells how many tasks lack room.
+func (p *planner) place(j *Job) int {
+	want := min(j.Pending, p.admits(j))
+	if j.Spec.Kind == wire.Gang && want < j.Pending || want == 0 {
+		p.plan.Why[j.ID] = "the team's limit is used up"
+		return 0
+	}
+	if j.Spec.Kind == wire.Gang {
+		if p.placeGang(j) {
+			return 0
+		}
+		p.plan.Why[j.ID] = "no room for the whole gang at once"
+		return j.Pending
+	}
+	for want > 0 {
+		m := p.pick(j)
+		if m == nil {
+			p.plan.Why[j.ID] = "no machine with room that the job may use"
+			return want
+		}
+		p.put(j, m)
+		want--
+	}
+	return 0
+}
+
+// admits is how many more tasks the team's limit admits.
+func (p *planner) admits(j *Job) int {
+	t := p.Teams[j.Spec.Team]
+	if t == nil {
+		return 0
+	}
+	n := j.Pending
+	if t.Limit.CPU > 0 && j.Need.CPU > 0 {
+		n = min(n, int(max(0, t.Limit.CPU-t.Used.CPU)/j.Need.CPU))
+	}
+	if t.Limit.GPU > 0 && j.Need.GPU > 0 {
+		n = min(n, int(max(0, t.Limit.GPU-t.Used.GPU)/j.Need.GPU))
+	}
+	return n
+}
+
+// pick chooses a machine for one task: services spread over zones, array
+// tasks fill: cheap kinds first, then a cached image, then the tightest room.
+func (p *planner) pick(j *Job) *Machine {
+	var best *Machine
+	var key [5]int64
+	for _, m := range p.Machines {
+		if !p.usable(j, m) || j.perZone(m.Zone) <= 0 {
+			continue
+		}
+		var k [5]int64
+		if j.Spec.Kind == wire.Daemon {
+			k[0] = int64(j.InZone[m.Zone])
+		}
+		if m.Slow {
+			k[1] = 1
+		}
+		if !m.Images[j.Spec.Image] {
+			k[2] = p.fetch(j, m.Type) / Second
+		}
+		if !m.Spot {
+			k[2] += 4
+		}
+		left := m.Free.Add(j.Need, -1)
+		k[3] = left.GPU
+		k[4] = left.CPU
+		if best == nil || slices.Compare(k[:], key[:]) < 0 {
+			best, key = m, k
+		}
+	}
+	return best
+}
+
+// placeGang puts a whole gang on the smallest set of machines in the fewest
+// zones, or nothing.
+func (p *planner) placeGang(j *Job) bool {
+	byZone := map[string][]*Machine{}
+	var zones []string
+	for _, m := range p.Machines {
+		if p.usable(j, m) {
+			if byZone[m.Zone] == nil {
+				zones = append(zones, m.Zone)
+			}
+			byZone[m.Zone] = append(byZone[m.Zone], m)
+		}
+	}
+	slices.Sort(zones)
+	room := map[string]int{}
+	for z, ms := range byZone {
+		slices.SortStableFunc(ms, func(a, b *Machine) int {
+			cached := func(m *Machine) int {
+				if m.Images[j.Spec.Image] {
+					return 0
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(b.Free.Times(j.Need), a.Free.Times(j.Need)), cmp.Compare(cached(a), cached(b)),
+				cmp.Compare(a.Type.Price, b.Type.Price))
+		})
+		for _, m := range ms {
+			room[z] += m.Free.Times(j.Need)
+		}
+		room[z] = min(room[z], j.perZone(z))
+	}
+	// The zone with the most room first: fewest zones; among those that hold
+	// it all, the fewest machines.
+	slices.SortStableFunc(zones, func(a, b string) int {
+		ra, rb := min(room[a], j.Pending), min(room[b], j.Pending)
+		return cmp.Or(cmp.Compare(rb, ra), cmp.Compare(span(byZone[a], j), span(byZone[b], j)), cmp.Compare(a, b))
+	})
+	var set []*Machine
+	left := j.Pending
+	for _, z := range zones {
+		take := min(left, room[z])
+		left -= take
+		for _, m := range byZone[z] {
+			for n := m.Free.Times(j.Need); n > 0 && take > 0; n-- {
+				set = append(set, m)
+				take--
+			}
+		}
+		if left == 0 || j.Spec.OneZone {
+			break
+		}
+	}
+	if left > 0 {
+		return false
+	}
+	for _, m := range set {
+		p.put(j, m)
+	}
+	return true
+}
+
+// span is how many of the machines, in order, the gang takes.
+func span(ms []*Machine, j *Job) int {
+	left := j.Pending
+	for i, m := range ms {
+		if left -= m.Free.Times(j.Need); left <= 0 {
+			return i + 1
+		}
+	}
+	return math.MaxInt32
+}
+
+// freeAt is when the machine is expected to have room for need.
+func (m *Machine) freeAt(need Res, now int64) int64 {
+	if !m.Total.Fits(need) {
+		return math.MaxInt64
+	}
+	at := now
+	if !m.Usable {
+		at = max(now, m.ReadyAt)
+	}
+	free := m.Free
+	if free.Fits(need) {
+		return at
+	}
+	uses := slices.Clone(m.Uses)
+	slices.SortStableFunc(uses, func(a, b Use) int { return cmp.Compare(a.End, b.End) })
+	for _, u := range uses {
+		if u.Job != nil && u.Job.Spec.Kind == wire.Daemon {
+			continue
+		}
+		free = free.Add(u.Need, 1)
+		if free.Fits(need) {
+			return max(at, u.End)
+		}
+	}
+	return math.MaxInt64
+}
+
+// reserve holds the machines freeing soonest for the top blocked job.
+func (p *planner) reserve(j *Job) {
+	type slot struct {
+		m  *Machine
+		at int64
+	}
+	var slots []slot
+	for _, m := range p.Machines {
+		if m.Borrowable || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || (m.Claim != "" && m.Claim != j.ID) ||
+			!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+			continue
+		}
+		if at := m.freeAt(j.Need, p.Now); at < math.MaxInt64 {
+			slots = append(slots, slot{m, at})
+		}
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
+	left := j.Pending
+	var set []slot
+	for _, s := range slots {
+		if left <= 0 {
+			break
+		}
+		left -= max(1, s.m.Total.Times(j.Need))
+		set = append(set, s)
+	}
+	for _, s := range set {
+		p.reserved[s.m] = set[len(set)-1].at
+		p.resFor[s.m] = j
+	}
+}
+
+// mayStop tells whether PROTOCOL permits stopping u for j.
+func (p *planner) mayStop(j *Job, u Use) bool {
+	if u.Job == nil || u.Index < 0 {
+		return false
+	}
+	if wire.Tier(u.Job.Spec.Priority) < wire.Tier(j.Spec.Priority) {
+		return true
+	}
+	mine, theirs := p.Teams[j.Spec.Team], p.Teams[u.Job.Spec.Team]
+	return mine != nil && theirs != nil && mine != theirs && mine.inGuarantee(j.Need, int64(j.Pending)) && theirs.beyond()
+}
+
+func (t *Team) inGuarantee(need Res, n int64) bool {
+	g := t.Guarantee
+	if g.CPU == 0 && g.GPU == 0 {
+		return false
+	}
+	u := t.Used.Add(need, n)
+	return (g.CPU == 0 || u.CPU <= g.CPU) && (g.GPU == 0 || u.GPU <= g.GPU)
+}
+
+func (t *Team) beyond() bool {
+	g := t.Guarantee
+	return g.CPU > 0 && t.Used.CPU > g.CPU || g.GPU > 0 && t.Used.GPU > g.GPU
+}
+
+// evict stops tasks for blocked jobs that need one machine: the machine whose
+// emptying loses the least work, unless room is expected soon anyway.
+func (p *planner) evict(blocked []*Job) {
+	done := 0
+	taken := map[*Machine]bool{}
+	for _, j := range blocked {
+		if done >= 2 || j.Deprior || j.Spec.Kind == wire.Gang && j.Spec.Tasks > 1 {
+			continue
+		}
+		soon := int64(math.MaxInt64)
+		claimed := false
+		for _, m := range p.Machines {
+			claimed = claimed || m.Claim == j.ID
+			if !m.Borrowable && !taken[m] && (m.Claim == "" || m.Claim == j.ID) && Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) && !j.Avoid[m.Name] {
+				soon = min(soon, m.freeAt(j.Need, p.Now))
+			}
+		}
+		if claimed || soon < p.Now+int64((j.Spec.SaveS+10)*float64(Second)) {
+			continue
+		}
+		var best *Machine
+		var victims []Use
+		var least int64 = math.MaxInt64
+		for _, m := range p.Machines {
+			if !m.Usable || m.Borrowable || m.Claim != "" || taken[m] || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 ||
+				!m.Total.Fits(j.Need) || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+				continue
+			}
+			uses := slices.Clone(m.Uses)
+			slices.SortStableFunc(uses, func(a, b Use) int { return cmp.Compare(a.Lost, b.Lost) })
+			free, lost := m.Free, int64(0)
+			var set []Use
+			for _, u := range uses {
+				if free.Fits(j.Need) {
+					break
+				}
+				if u.Leaving || p.mayStop(j, u) {
+					free = free.Add(u.Need, 1)
+					lost += u.Lost
+					set = append(set, u)
+				}
+			}
+			if free.Fits(j.Need) && lost < least {
+				best, victims, least = m, set, lost
+			}
+		}
+		if best != nil {
+			taken[best] = true
+			done++
+			p.plan.Evictions = append(p.plan.Evictions, Eviction{j, best, victims})
+		}
+	}
+}
+
+// demand borrows or rents for what neither runs nor fits soon.
+func (p *planner) demand(blocked []*Job) {
+	rent := map[Kind]int{}
+	var order []Kind
+	virtual := slices.Clone(p.Machines)
+	total := 0
+	for _, j := range blocked {
+		if j.Deprior {
+			continue
+		}
+		for n := min(j.blocked, 400); n > 0; n-- {
+			if total >= 12 {
+				p.order(rent, order)
+				return
+			}
+			m, at := p.soonest(j, virtual)
+			kind, typ := p.cheapest(j, n)
+			boot := int64(math.MaxInt64)
+			if typ != nil {
+				boot = p.Now + int64(typ.BootS*float64(Second))
+			}
+			if m != nil && (typ == nil || at <= boot || p.meets(j, m, at)) {
+				if m.Borrowable && !slices.Contains(p.plan.Borrow, m) {
+					p.plan.Borrow = append(p.plan.Borrow, m)
+				}
+				m.Free = m.Free.Add(j.Need, -1)
+				end := at + int64(j.Spec.EstimateS*float64(Second)) + p.fetch(j, m.Type)
+				m.Uses = append(slices.Clone(m.Uses), Use{Job: j, Index: -1, Need: j.Need, End: end})
+				continue
+			}
+			if typ == nil {
+				p.plan.Why[j.ID] = "no room, and no machine to rent for it"
+				break
+			}
+			total++
+			if rent[kind] == 0 {
+				order = append(order, kind)
+			}
+			rent[kind]++
+			full := ResOf(typ.CPUs, typ.GPUs, typ.MemoryGB)
+			virtual = append(virtual, &Machine{Type: typ, Zone: kind.Zone, Spot: kind.Spot, Total: full, Free: full.Add(j.Need, -1),
+				ReadyAt: boot, Uses: []Use{{Job: j, Index: -1, Need: j.Need, End: boot + int64(j.Spec.EstimateS*float64(Second)) + p.fetch(j, typ)}}})
+			p.plan.Why[j.ID] = "waits for a rented machine to boot"
+		}
+	}
+	p.order(rent, order)
+}
+
+func (p *planner) order(rent map[Kind]int, order []Kind) {
+	for _, k := range order {
+		p.plan.Rentals = append(p.plan.Rentals, Rental{k, rent[k]})
+	}
+}
+
+// meets tells whether a task that starts at this time is early enough for
+// what its owner expects.
+func (p *planner) meets(j *Job, m *Machine, at int64) bool {
+	if j.Spec.DeadlineS <= 0 {
+		return false
+	}
+	end := at + p.fetch(j, m.Type) + int64(1.2*j.Spec.EstimateS*float64(Second))
+	return end <= j.At+int64(j.Spec.DeadlineS*float64(Second))
+}
+
+func (p *planner) soonest(j *Job, ms []*Machine) (*Machine, int64) {
+	var best *Machine
+	var at int64 = math.MaxInt64
+	for _, m := range ms {
+		if m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+			continue
+		}
+		if t := m.freeAt(j.Need, p.Now); t < at {
+			best, at = m, t
+		}
+	}
+	return best, at
+}
+
+// cheapest chooses what to rent: the lowest price for each task that the
+// machine would hold of this demand.
+func (p *planner) cheapest(j *Job, n int) (Kind, *wire.MachineType) {
+	var best Kind
+	var typ *wire.MachineType
+	least := math.Inf(1)
+	held := map[Kind]int{}
+	for _, m := range p.Machines {
+		held[Kind{m.Type.Name, m.Zone, m.Spot}]++
+	}
+	for i := range p.Types {
+		t := &p.Types[i]
+		fit := ResOf(t.CPUs, t.GPUs, t.MemoryGB).Times(j.Need)
+		if fit == 0 {
+			continue
+		}
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				k := Kind{t.Name, z, spot}
+				if !Allowed(j.Spec, t.Name, z, spot) || p.Refused[k] || j.perZone(z) <= 0 {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice * 1.1 // some of the work is lost with a taken machine
+				}
+				overhead := (t.BootS + float64(p.fetch(j, t))/float64(Second) + j.Spec.EstimateS) / max(1, j.Spec.EstimateS)
+				cost := price*overhead/float64(min(fit, n)) + float64(held[k])*1e-6
+				if cost < least {
+					best, typ, least = k, t, cost
+				}
+			}
+		}
+	}
+	return best, typ
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,334 @@
+// Package server runs the core: one loop that feeds it inputs and carries
+// out its effects, with the sockets round it.
+package server
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"spurmoor/internal/cloud"
+	"spurmoor/internal/core"
+	"spurmoor/internal/peer"
+	"spurmoor/internal/settings"
+	"spurmoor/internal/store"
+	"spurmoor/internal/wire"
+)
+
+// Server is a running controller.
+type Server struct {
+	set     *settings.Settings
+	log     *slog.Logger
+	core    *core.Core
+	inputs  chan input
+	waiting map[uint64]chan core.Answer
+	nextReq atomic.Uint64
+	store   *store.Client
+	cloud   *cloud.Client
+	peers   []*fasthttp.HostClient
+	telling []atomic.Bool
+	workers *fasthttp.Client
+	pushes  chan struct{}
+	garbage atomic.Uint64
+	start   time.Time
+}
+
+// input is an input to the core, or a request that awaits its answer.
+type input struct {
+	in  any
+	req uint64
+	to  chan core.Answer
+}
+
+// New makes a controller's server and fits the process to its limits.
+func New(set *settings.Settings, log *slog.Logger) (*Server, error) {
+	var seed [16]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, fmt.Errorf("random seed: %w", err)
+	}
+	// One thread runs at a time there; memory over the limit is death.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(set.Facts.Limits.MemMB * 0.7 * (1 << 20)))
+	inc := binary.LittleEndian.Uint64(seed[:8]) >> 12
+	rng := rand.New(rand.NewPCG(inc, binary.LittleEndian.Uint64(seed[8:])))
+	s := &Server{
+		set: set, log: log, core: core.New(set, inc, rng), start: time.Now(),
+		inputs: make(chan input, 2048), waiting: map[uint64]chan core.Answer{},
+		store: store.New(set), cloud: cloud.New(set), pushes: make(chan struct{}, 32),
+		telling: make([]atomic.Bool, len(set.Peers)),
+		workers: &fasthttp.Client{MaxConnsPerHost: 2, ReadTimeout: 4 * time.Second, WriteTimeout: 2 * time.Second,
+			MaxIdleConnDuration: 20 * time.Second, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 1 << 20},
+	}
+	for _, p := range set.Peers {
+		s.peers = append(s.peers, &fasthttp.HostClient{Addr: p.Addr, MaxConns: 2, ReadTimeout: 3 * time.Second,
+			WriteTimeout: 2 * time.Second, MaxIdleConnDuration: 30 * time.Second, MaxIdemponentCallAttempts: 1})
+	}
+	return s, nil
+}
+
+// now is the time of day at the start plus what the steady clock says since.
+func (s *Server) now() int64 { return s.start.UnixMicro() + time.Since(s.start).Microseconds() }
+
+// Run serves until ctx ends or a listener fails.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	most := s.set.Facts.Limits.MaxConnections
+	if err := s.listen(ctx, g, s.set.PublicAddr, s.public, most*6/10); err != nil {
+		return err
+	}
+	if err := s.listen(ctx, g, s.set.InternalAddr, s.internal, most/10+8); err != nil {
+		return err
+	}
+	g.Go(func() error { return s.loop(ctx) })
+	s.log.Info("controller started", "node", s.set.Node, "parts", s.set.Ops.Parts, "public", s.set.PublicAddr)
+	return g.Wait()
+}
+
+func (s *Server) listen(ctx context.Context, g *errgroup.Group, addr string, h fasthttp.RequestHandler, most int) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := &fasthttp.Server{
+		Handler: h, Concurrency: max(16, most), MaxRequestBodySize: wire.MaxBody, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, NoDefaultServerHeader: true,
+		ReduceMemoryUsage: true, Logger: quiet{}, ErrorHandler: s.badRequest,
+	}
+	g.Go(func() error {
+		if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("serve %s: %w", addr, err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return ln.Close()
+	})
+	return nil
+}
+
+type quiet struct{}
+
+// Printf drops what fasthttp would print of clients' broken connections.
+func (quiet) Printf(string, ...any) {}
+
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	why := "malformed request"
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		why = "body over 64 KiB"
+	}
+	respond(ctx, core.Answer{Status: 400, Body: wire.Error{Error: why}})
+	ctx.SetConnectionClose()
+}
+
+// loop is the only place that touches the core.
+func (s *Server) loop(ctx context.Context) error {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		var in any = core.Tick{}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case v := <-s.inputs:
+			if v.to != nil {
+				s.waiting[v.req] = v.to
+			}
+			in = v.in
+		}
+		for _, e := range s.core.Step(s.now(), in) {
+			s.effect(e)
+		}
+	}
+}
+
+func (s *Server) feed(in any) { s.inputs <- input{in: in} }
+
+func (s *Server) effect(e any) {
+	switch v := e.(type) {
+	case core.Answer:
+		if to := s.waiting[v.Req]; to != nil {
+			delete(s.waiting, v.Req)
+			to <- v
+		}
+	case core.StoreCall:
+		go func() { s.feed(s.store.Do(v)) }()
+	case core.CloudCall:
+		go func() { s.feed(s.cloud.Do(v)) }()
+	case core.Push:
+		go s.push(v)
+	case core.Tell:
+		s.tell(v.Hello)
+	case core.Log:
+		s.log.Log(context.Background(), v.Level, v.Msg, v.Args...)
+	}
+}
+
+// push sends direct commands; a worker that hangs holds one of few places.
+func (s *Server) push(p core.Push) {
+	out := core.Pushed{Machine: p.Machine, Token: p.Body.Token}
+	defer func() { s.feed(out) }()
+	select {
+	case s.pushes <- struct{}{}:
+		defer func() { <-s.pushes }()
+	default:
+		return
+	}
+	b, err := json.Marshal(p.Body)
+	if err != nil {
+		return
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + p.Addr + "/commands")
+	req.Header.SetMethod("POST")
+	req.Header.SetContentType("application/json")
+	req.SetBody(b)
+	if err := s.workers.DoTimeout(req, resp, 3*time.Second); err != nil {
+		return
+	}
+	if r, err := wire.ParseReport(resp.Body()); err == nil {
+		out.Status, out.Report = resp.StatusCode(), r
+	} else {
+		s.unreadable("worker", err)
+	}
+}
+
+func (s *Server) unreadable(who string, err error) {
+	s.log.Debug("unreadable message", "from", who, "error", err, "so_far", s.garbage.Add(1))
+}
+
+func (s *Server) tell(h *peer.Hello) {
+	b, err := peer.Encode(h)
+	if err != nil {
+		s.log.Error("peer message", "error", err)
+		return
+	}
+	for i, p := range s.peers {
+		if s.telling[i].Swap(true) {
+			continue // the last one still hangs
+		}
+		go func() {
+			defer s.telling[i].Store(false)
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			defer fasthttp.ReleaseRequest(req)
+			defer fasthttp.ReleaseResponse(resp)
+			req.SetRequestURI("http://" + p.Addr + "/peer")
+			req.Header.SetMethod("POST")
+			req.SetBody(b)
+			if err := p.DoTimeout(req, resp, 2*time.Second); err != nil {
+				s.log.Debug("peer does not answer", "peer", p.Addr, "error", err)
+			}
+		}()
+	}
+}
+
+// ask hands a request to the core and waits for its answer.
+func (s *Server) ask(ctx *fasthttp.RequestCtx, toInput func(req uint64) any) {
+	req := s.nextReq.Add(1)
+	to := make(chan core.Answer, 1)
+	select {
+	case s.inputs <- input{toInput(req), req, to}:
+	default:
+		respond(ctx, core.Answer{Status: 429, Body: wire.Error{Error: "too many requests"}, RetryAfter: 2})
+		return
+	}
+	respond(ctx, <-to)
+}
+
+func respond(ctx *fasthttp.RequestCtx, a core.Answer) {
+	b, err := json.Marshal(a.Body)
+	if err != nil {
+		ctx.SetStatusCode(500)
+		return
+	}
+	ctx.SetStatusCode(a.Status)
+	ctx.SetContentType("application/json")
+	if a.RetryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(a.RetryAfter))
+	}
+	ctx.SetBody(b)
+}
+
+// public serves users, workers and health checks.
+func (s *Server) public(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	method := "GET"
+	var handle func(req uint64) any
+	switch {
+	case path == "/ready":
+		handle = func(req uint64) any { return core.Ready{Req: req} }
+	case path == "/work":
+		method = "POST"
+		handle = func(req uint64) any { return core.Submit{Req: req, Body: append([]byte(nil), ctx.PostBody()...)} }
+	case path == "/v1/report":
+		method = "POST"
+		if string(ctx.Method()) != method {
+			break
+		}
+		r, err := wire.ParseReport(ctx.PostBody())
+		if err != nil {
+			s.unreadable("worker", err)
+			respond(ctx, core.Answer{Status: 400, Body: wire.Error{Error: err.Error()}})
+			return
+		}
+		handle = func(req uint64) any { return core.ReportIn{Req: req, Report: r} }
+	case strings.HasPrefix(path, "/work/"):
+		id, cancel := strings.CutSuffix(path[len("/work/"):], "/cancel")
+		if cancel {
+			method = "POST"
+			handle = func(req uint64) any { return core.Cancel{Req: req, ID: id} }
+		} else if !strings.Contains(id, "/") {
+			handle = func(req uint64) any { return core.Poll{Req: req, ID: id} }
+		} else {
+			method = ""
+		}
+	default:
+		method = ""
+	}
+	switch {
+	case method == "":
+		respond(ctx, core.Answer{Status: 404, Body: wire.Error{Error: "no such path"}})
+	case string(ctx.Method()) != method:
+		ctx.Response.Header.Set("Allow", method)
+		respond(ctx, core.Answer{Status: 405, Body: wire.Error{Error: "wrong method"}})
+	default:
+		s.ask(ctx, handle)
+	}
+}
+
+// internal serves the other controllers.
+func (s *Server) internal(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != "/peer" {
+		ctx.SetStatusCode(404)
+		return
+	}
+	h, err := peer.Decode(ctx.PostBody())
+	if err != nil {
+		s.unreadable("peer", err)
+		ctx.SetStatusCode(400)
+		return
+	}
+	select {
+	case s.inputs <- input{in: core.PeerIn{Hello: h}}:
+	default:
+	}
+	ctx.SetStatusCode(204)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,308 @@
+// Package settings reads and checks what the platform hands a controller
+// (JSON) and what its operators may set on top of it (TOML).
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Name string `json:"node_name"`
+	Zone string `json:"site"`
+	Addr string `json:"addr"`
+}
+
+// Team holds a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective is one stated aim for a class of jobs.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+}
+
+// Platform is the settings file handed over by the platform.
+type Platform struct {
+	Node         string `json:"node_name"`
+	Zone         string `json:"site"`
+	PublicAddr   string `json:"public_addr"`
+	InternalAddr string `json:"internal_addr"`
+	Peers        []Peer `json:"known"`
+	Endpoints    struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"endpoints"`
+	Facts Facts `json:"facts"`
+}
+
+// Facts describe the deployment.
+type Facts struct {
+	Nodes      int         `json:"nodes"`
+	Zones      []string    `json:"zones"`
+	Teams      []Team      `json:"teams"`
+	Objectives []Objective `json:"objectives"`
+	Workers    struct {
+		ReportS   float64 `json:"report_s"`
+		LeaseS    float64 `json:"lease_s"`
+		GangWaitS float64 `json:"gang_wait_s"`
+		GangPeerS float64 `json:"gang_peer_s"`
+		CancelS   float64 `json:"cancel_s"`
+	} `json:"workers"`
+	State struct {
+		RPS      float64 `json:"rps"`
+		WriteRPS float64 `json:"write_rps"`
+		ValueKB  float64 `json:"value_kb"`
+		TxnOps   int     `json:"txn_ops"`
+	} `json:"state"`
+	Cloud struct {
+		RPS      float64 `json:"rps"`
+		ListLagS float64 `json:"list_lag_s"`
+	} `json:"cloud"`
+	Limits struct {
+		Cores          float64 `json:"cores"`
+		MemMB          float64 `json:"mem_mb"`
+		MaxConnections int     `json:"max_connections"`
+	} `json:"machine_limits"`
+	TimeBoundMS float64 `json:"time_bound_ms"`
+}
+
+// Weights weigh the terms of a job's score; the names follow the design.
+type Weights struct {
+	Priority  float64 `toml:"priority"`
+	Wait      float64 `toml:"wait"`
+	Deficit   float64 `toml:"deficit"`
+	ZoneFit   float64 `toml:"zone_fit"`
+	Readiness float64 `toml:"readiness"`
+	Backlog   float64 `toml:"backlog"`
+}
+
+// Operators holds what operators may tune; docs/operations.md lists it.
+type Operators struct {
+	Parts          int     `toml:"parts"`
+	CycleS         float64 `toml:"cycle_s"`
+	ReferenceWaitS float64 `toml:"reference_wait_s"`
+	IdleReturnS    float64 `toml:"idle_return_s"`
+	SilentS        float64 `toml:"silent_s"`
+	HoldTTLS       float64 `toml:"hold_ttl_s"`
+	RefusalS       float64 `toml:"refusal_memory_s"`
+	QueueJobs      int     `toml:"queue_jobs"`
+	Weights        Weights `toml:"weights"`
+}
+
+// Settings is everything a controller runs by.
+type Settings struct {
+	Platform
+	Ops Operators
+	// TeamPart deals each team to a part.
+	TeamPart map[string]int
+	// Nodes lists every controller by name, in order.
+	Nodes []string
+}
+
+// Defaults returns the operators' settings where nothing is said.
+func Defaults() Operators {
+	return Operators{
+		CycleS: 5, ReferenceWaitS: 60, IdleReturnS: 30, SilentS: 12, HoldTTLS: 6,
+		RefusalS: 15, QueueJobs: 4000,
+		Weights: Weights{Priority: 0.20, Wait: 0.20, Deficit: 0.20, ZoneFit: 0.15, Readiness: 0.10, Backlog: 0.05},
+	}
+}
+
+// Load reads the platform's file and, where opsPath is not empty, the
+// operators' file.
+func Load(path, opsPath string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	ops := Defaults()
+	if opsPath != "" {
+		text, err := os.ReadFile(opsPath)
+		if err != nil {
+			return nil, fmt.Errorf("read operators' settings: %w", err)
+		}
+		if ops, err = ParseOperators(text); err != nil {
+			return nil, fmt.Errorf("%s: %w", opsPath, err)
+		}
+	}
+	s, err := Parse(raw, ops)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseOperators reads the operators' TOML over the defaults.
+func ParseOperators(text []byte) (Operators, error) {
+	ops := Defaults()
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&ops); err != nil {
+		if strict, ok := err.(*toml.StrictMissingError); ok && len(strict.Errors) > 0 {
+			return ops, fmt.Errorf("unknown key %s", strings.Join(strict.Errors[0].Key(), "."))
+		}
+		return ops, err
+	}
+	ranges := []struct {
+		key       string
+		v, lo, hi float64
+	}{
+		{"parts", float64(ops.Parts), 0, 64},
+		{"cycle_s", ops.CycleS, 0.5, 60},
+		{"reference_wait_s", ops.ReferenceWaitS, 1, 86400},
+		{"idle_return_s", ops.IdleReturnS, 0, 86400},
+		{"silent_s", ops.SilentS, 5, 600},
+		{"hold_ttl_s", ops.HoldTTLS, 2, 60},
+		{"refusal_memory_s", ops.RefusalS, 1, 600},
+		{"queue_jobs", float64(ops.QueueJobs), 10, 1e6},
+		{"weights.priority", ops.Weights.Priority, 0, 1},
+		{"weights.wait", ops.Weights.Wait, 0, 1},
+		{"weights.deficit", ops.Weights.Deficit, 0, 1},
+		{"weights.zone_fit", ops.Weights.ZoneFit, 0, 1},
+		{"weights.readiness", ops.Weights.Readiness, 0, 1},
+		{"weights.backlog", ops.Weights.Backlog, 0, 1},
+	}
+	for _, r := range ranges {
+		if !(r.v >= r.lo && r.v <= r.hi) {
+			return ops, fmt.Errorf("%s = %v is out of range %v to %v", r.key, r.v, r.lo, r.hi)
+		}
+	}
+	if ops.Parts == 1 {
+		return ops, fmt.Errorf("parts = 1 is out of range: at least two, or 0 for one per controller")
+	}
+	return ops, nil
+}
+
+// Parse checks the platform's settings and derives what follows from them.
+func Parse(raw []byte, ops Operators) (*Settings, error) {
+	s := &Settings{Ops: ops}
+	if err := json.Unmarshal(raw, &s.Platform); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	s.Nodes = []string{s.Node}
+	for _, p := range s.Peers {
+		s.Nodes = append(s.Nodes, p.Name)
+	}
+	slices.Sort(s.Nodes)
+	if s.Ops.Parts == 0 {
+		s.Ops.Parts = max(2, len(s.Nodes))
+	}
+	s.deal()
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	f := &s.Facts
+	texts := []struct{ field, v string }{
+		{"node_name", s.Node}, {"public_addr", s.PublicAddr}, {"internal_addr", s.InternalAddr},
+		{"endpoints.cloud", s.Endpoints.Cloud}, {"endpoints.state", s.Endpoints.State},
+	}
+	for _, p := range s.Peers {
+		texts = append(texts, struct{ field, v string }{"known.node_name", p.Name}, struct{ field, v string }{"known.addr", p.Addr})
+	}
+	for _, t := range texts {
+		if t.v == "" {
+			return fmt.Errorf("field %s is missing", t.field)
+		}
+		if strings.HasSuffix(t.field, "addr") || strings.HasPrefix(t.field, "endpoints") {
+			if a, err := netip.ParseAddrPort(t.v); err != nil || !a.Addr().Is4() {
+				return fmt.Errorf("field %s: %q is no IPv4 address with a port", t.field, t.v)
+			}
+		}
+	}
+	for _, p := range s.Peers {
+		if p.Name == s.Node {
+			return fmt.Errorf("field known: %q names this controller itself", p.Name)
+		}
+	}
+	nums := []struct {
+		field string
+		v     float64
+	}{
+		{"facts.workers.report_s", f.Workers.ReportS}, {"facts.workers.lease_s", f.Workers.LeaseS},
+		{"facts.workers.gang_wait_s", f.Workers.GangWaitS}, {"facts.workers.gang_peer_s", f.Workers.GangPeerS},
+		{"facts.workers.cancel_s", f.Workers.CancelS}, {"facts.state.rps", f.State.RPS},
+		{"facts.state.write_rps", f.State.WriteRPS}, {"facts.state.value_kb", f.State.ValueKB},
+		{"facts.state.txn_ops", float64(f.State.TxnOps)}, {"facts.cloud.rps", f.Cloud.RPS},
+		{"facts.cloud.list_lag_s", f.Cloud.ListLagS}, {"facts.machine_limits.cores", f.Limits.Cores},
+		{"facts.machine_limits.mem_mb", f.Limits.MemMB},
+		{"facts.machine_limits.max_connections", float64(f.Limits.MaxConnections)},
+	}
+	for _, n := range nums {
+		if !(n.v > 0) || math.IsInf(n.v, 0) {
+			return fmt.Errorf("field %s: must be above 0, is %v", n.field, n.v)
+		}
+	}
+	if f.State.TxnOps < 3 {
+		return fmt.Errorf("field facts.state.txn_ops: must be at least 3, is %d", f.State.TxnOps)
+	}
+	if f.Workers.CancelS <= f.Workers.LeaseS+s.Ops.HoldTTLS {
+		return fmt.Errorf("field facts.workers.cancel_s: %v leaves no room after lease_s %v", f.Workers.CancelS, f.Workers.LeaseS)
+	}
+	if len(f.Zones) == 0 {
+		return fmt.Errorf("field facts.zones is missing")
+	}
+	if len(f.Teams) == 0 {
+		return fmt.Errorf("field facts.teams is missing")
+	}
+	seen := map[string]bool{}
+	for _, t := range f.Teams {
+		if t.Name == "" || seen[t.Name] {
+			return fmt.Errorf("field facts.teams: name %q is empty or given twice", t.Name)
+		}
+		seen[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("field facts.teams: %s has the amount %v", t.Name, v)
+			}
+		}
+	}
+	return nil
+}
+
+// deal spreads the teams over the parts, largest guarantee first, each to
+// the part with the least so far.
+func (s *Settings) deal() {
+	teams := slices.Clone(s.Facts.Teams)
+	size := func(t Team) float64 { return t.GPUs*6 + t.CPUs }
+	slices.SortStableFunc(teams, func(a, b Team) int {
+		if d := size(b) - size(a); d != 0 {
+			return int(math.Copysign(1, d))
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	load := make([]float64, s.Ops.Parts)
+	s.TeamPart = map[string]int{}
+	for _, t := range teams {
+		least := 0
+		for i := range load {
+			if load[i] < load[least] {
+				least = i
+			}
+		}
+		load[least] += size(t) + 1e-3
+		s.TeamPart[t.Name] = least
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,421 @@
+// Package wire holds the JSON forms of PROTOCOL and their validation. The
+// names used on the wire live only here.
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// MaxBody is the largest request body taken, in bytes.
+const MaxBody = 64 << 10
+
+// Kinds of jobs.
+const (
+	Array  = "array"
+	Gang   = "group"
+	Daemon = "daemon"
+)
+
+// States of jobs.
+const (
+	Pending   = "pending"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "withdrawn"
+)
+
+// States of tasks in reports; running is Running.
+const (
+	Fetching = "pulling"
+	Waiting  = "waiting"
+	Saving   = "flushing"
+	Exited   = "ended"
+)
+
+// Causes of a task's exit; completed is Done.
+const (
+	Stopped = "halted"
+	Peers   = "mates_gone"
+	Alone   = "alone"
+	Failed  = "error"
+	NoRoom  = "no_room"
+	Busy    = "busy"
+	NoSuch  = "no_such"
+)
+
+// Operations of commands.
+const (
+	Start  = "run"
+	Stop   = "halt"
+	Forget = "forget"
+)
+
+// Job is a submitted job.
+type Job struct {
+	ID          string   `json:"Id"`
+	Class       string   `json:"Clase"`
+	Team        string   `json:"Dueno"`
+	Kind        string   `json:"Forma"`
+	Priority    string   `json:"Prelacion"`
+	Tasks       int      `json:"Tareas"`
+	CPUs        float64  `json:"Vcpus"`
+	GPUs        float64  `json:"Accelerators"`
+	MemoryGB    float64  `json:"MemoryGb"`
+	Image       string   `json:"Imagen"`
+	ImageGB     float64  `json:"SizeGb"`
+	Types       []string `json:"Tipos"`
+	Zone        string   `json:"Zona"`
+	OneZone     bool     `json:"Together"`
+	Spread      bool     `json:"Apart"`
+	Spot        bool     `json:"Prestadas"`
+	EstimateS   float64  `json:"EstimadoS"`
+	CheckpointS float64  `json:"RespaldoS"`
+	SaveS       float64  `json:"GuardadoS"`
+	DeadlineS   float64  `json:"PlazoS"`
+}
+
+type rawJob struct {
+	ID          *string   `json:"Id"`
+	Class       *string   `json:"Clase"`
+	Team        *string   `json:"Dueno"`
+	Kind        *string   `json:"Forma"`
+	Priority    *string   `json:"Prelacion"`
+	Tasks       *int      `json:"Tareas"`
+	CPUs        *float64  `json:"Vcpus"`
+	GPUs        *float64  `json:"Accelerators"`
+	MemoryGB    *float64  `json:"MemoryGb"`
+	Image       *string   `json:"Imagen"`
+	ImageGB     *float64  `json:"SizeGb"`
+	Types       *[]string `json:"Tipos"`
+	Zone        *string   `json:"Zona"`
+	OneZone     *bool     `json:"Together"`
+	Spread      *bool     `json:"Apart"`
+	Spot        *bool     `json:"Prestadas"`
+	EstimateS   *float64  `json:"EstimadoS"`
+	CheckpointS *float64  `json:"RespaldoS"`
+	SaveS       *float64  `json:"GuardadoS"`
+	DeadlineS   *float64  `json:"PlazoS"`
+}
+
+var idForm = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
+
+// ValidID tells whether id has the form of a job's id.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// Priorities, lowest first.
+var priorities = map[string]int{"best_effort": 1, "standard": 4, "urgent": 7, "production": 10}
+
+// Tier is the 0 to 10 tier of a priority.
+func Tier(priority string) int { return priorities[priority] }
+
+// JobID reads only the id out of a body; "" where there is no valid one.
+func JobID(body []byte) string {
+	var v struct {
+		ID string `json:"Id"`
+	}
+	if json.Unmarshal(body, &v) != nil || !ValidID(v.ID) {
+		return ""
+	}
+	return v.ID
+}
+
+// ParseJob reads and checks a submission.
+func ParseJob(body []byte) (*Job, error) {
+	if len(body) > MaxBody {
+		return nil, errors.New("body over 64 KiB")
+	}
+	if k := jsontext.Value(body).Kind(); k != '{' {
+		return nil, errors.New("not a JSON object")
+	}
+	var r rawJob
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("not a valid job: %w", err)
+	}
+	j := &Job{}
+	var err error
+	fail := func(field, why string) {
+		if err == nil {
+			err = fmt.Errorf("field %s: %s", field, why)
+		}
+	}
+	text := func(field string, p *string, to *string) {
+		switch {
+		case p == nil:
+			fail(field, "is missing")
+		case *p == "" || len(*p) > 200:
+			fail(field, "must have 1 to 200 bytes")
+		default:
+			*to = *p
+		}
+	}
+	amount := func(field string, p *float64, to *float64) {
+		switch {
+		case p == nil:
+			fail(field, "is missing")
+		case !(*p >= 0) || math.IsInf(*p, 0) || *p > 1e9:
+			fail(field, "must be between 0 and 1e9")
+		default:
+			*to = *p
+		}
+	}
+	flag := func(field string, p *bool, to *bool) {
+		if p == nil {
+			fail(field, "is missing")
+			return
+		}
+		*to = *p
+	}
+	text("Id", r.ID, &j.ID)
+	if err == nil && !ValidID(j.ID) {
+		fail("Id", "must look like wk-000412")
+	}
+	text("Clase", r.Class, &j.Class)
+	text("Dueno", r.Team, &j.Team)
+	text("Forma", r.Kind, &j.Kind)
+	if err == nil && j.Kind != Array && j.Kind != Gang && j.Kind != Daemon {
+		fail("Forma", "must be array, group or daemon")
+	}
+	text("Prelacion", r.Priority, &j.Priority)
+	if err == nil && Tier(j.Priority) == 0 {
+		fail("Prelacion", "must be production, urgent, standard or best_effort")
+	}
+	switch {
+	case r.Tasks == nil:
+		fail("Tareas", "is missing")
+	case *r.Tasks < 1 || *r.Tasks > 100000:
+		fail("Tareas", "must be between 1 and 100000")
+	default:
+		j.Tasks = *r.Tasks
+	}
+	amount("Vcpus", r.CPUs, &j.CPUs)
+	amount("Accelerators", r.GPUs, &j.GPUs)
+	amount("MemoryGb", r.MemoryGB, &j.MemoryGB)
+	text("Imagen", r.Image, &j.Image)
+	amount("SizeGb", r.ImageGB, &j.ImageGB)
+	if r.Types != nil {
+		if len(*r.Types) > 100 {
+			fail("Tipos", "names more than 100 types")
+		}
+		j.Types = *r.Types
+		if j.Types == nil {
+			j.Types = []string{}
+		}
+	}
+	if r.Zone != nil {
+		text("Zona", r.Zone, &j.Zone)
+	}
+	flag("Together", r.OneZone, &j.OneZone)
+	flag("Apart", r.Spread, &j.Spread)
+	flag("Prestadas", r.Spot, &j.Spot)
+	amount("EstimadoS", r.EstimateS, &j.EstimateS)
+	amount("RespaldoS", r.CheckpointS, &j.CheckpointS)
+	amount("GuardadoS", r.SaveS, &j.SaveS)
+	if r.DeadlineS != nil {
+		amount("PlazoS", r.DeadlineS, &j.DeadlineS)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+// JobStatus answers users' questions about a job.
+type JobStatus struct {
+	ID      string `json:"Id"`
+	State   string `json:"Estado"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+// Error is the body of a refusal.
+type Error struct {
+	Error string `json:"error"`
+}
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `json:"Tarea"`
+	Attempt uint64 `json:"Intento"`
+	State   string `json:"Estado"`
+	Why     string `json:"Causa,omitempty"`
+	Saved   bool   `json:"Stored,omitempty"`
+}
+
+// Report is what a worker tells of itself.
+type Report struct {
+	Machine string       `json:"Maquina"`
+	Addr    string       `json:"Endpoint"`
+	Type    string       `json:"Tipo"`
+	Zone    string       `json:"Zona"`
+	Spot    bool         `json:"Prestadas"`
+	Session uint64       `json:"Jornada"`
+	Seq     uint64       `json:"Folio"`
+	Token   uint64       `json:"Baston"`
+	NoticeS *float64     `json:"AvisoS"`
+	Tasks   []TaskReport `json:"Tareas"`
+}
+
+// ParseReport reads and checks a report.
+func ParseReport(body []byte) (*Report, error) {
+	r := &Report{}
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, fmt.Errorf("report: %w", err)
+	}
+	if r.Machine == "" || len(r.Machine) > 150 || r.Session == 0 {
+		return nil, errors.New("report: machine or session is missing")
+	}
+	return r, nil
+}
+
+// Command is one order to a worker.
+type Command struct {
+	Op      string   `json:"Accion"`
+	Task    string   `json:"Tarea"`
+	Attempt uint64   `json:"Intento"`
+	GraceS  *float64 `json:"GraciaS,omitempty"`
+}
+
+// Orders answers a report.
+type Orders struct {
+	Token    uint64    `json:"Baston"`
+	Commands []Command `json:"Ordenes"`
+}
+
+// Push is the body of a direct command to a worker.
+type Push struct {
+	Token    uint64    `json:"Baston"`
+	Session  uint64    `json:"Jornada"`
+	Commands []Command `json:"Ordenes"`
+}
+
+// Redirect sends a worker to another controller.
+type Redirect struct {
+	To string `json:"ReportaA,omitempty"`
+}
+
+// MachineType is one type the cloud rents.
+type MachineType struct {
+	Name      string   `json:"Label"`
+	CPUs      float64  `json:"Vcpus"`
+	GPUs      float64  `json:"Accelerators"`
+	MemoryGB  float64  `json:"MemoryGb"`
+	CacheGB   float64  `json:"LocalGb"`
+	FetchGBs  float64  `json:"FetchGbPerS"`
+	Price     float64  `json:"Price"`
+	SpotPrice float64  `json:"MarketPrice"`
+	BootS     float64  `json:"BootS"`
+	Zones     []string `json:"Zonas"`
+}
+
+// Catalog lists the machine types.
+type Catalog struct {
+	Types []MachineType `json:"Tipos"`
+}
+
+// Rent asks the cloud for machines.
+type Rent struct {
+	Request string `json:"Pedido"`
+	Type    string `json:"Tipo"`
+	Zone    string `json:"Zona"`
+	Spot    bool   `json:"Prestadas"`
+	Count   int    `json:"HowMany"`
+}
+
+// Names lists machines by name.
+type Names struct {
+	Machines []string `json:"Maquinas"`
+}
+
+// CloudMachine is one machine in the cloud's list.
+type CloudMachine struct {
+	ID    string  `json:"Id"`
+	Addr  string  `json:"Endpoint"`
+	Type  string  `json:"Tipo"`
+	Zone  string  `json:"Zona"`
+	Spot  bool    `json:"Prestadas"`
+	State string  `json:"Estado"`
+	AgeS  float64 `json:"AgeS"`
+}
+
+// States of machines in the cloud's list; running is Running.
+const (
+	Booting       = "starting"
+	MachineFailed = "failed"
+)
+
+// MachineList is a page of the cloud's list.
+type MachineList struct {
+	Machines []CloudMachine `json:"Maquinas"`
+	More     bool           `json:"Truncated"`
+}
+
+// Item is a key of the state service.
+type Item struct {
+	Key     string         `json:"K"`
+	Value   jsontext.Value `json:"Data"`
+	Version uint64         `json:"Edicion"`
+}
+
+// Items is a page of keys.
+type Items struct {
+	Items    []Item `json:"Pairs"`
+	More     bool   `json:"Truncated"`
+	Revision uint64 `json:"Revision"`
+}
+
+// Guard is a condition of a transaction.
+type Guard struct {
+	Key     string `json:"K"`
+	Version uint64 `json:"Edicion"`
+}
+
+// Write is a put or a delete in a transaction.
+type Write struct {
+	Put    string         `json:"Write,omitempty"`
+	Value  jsontext.Value `json:"Data,omitempty"`
+	Lease  uint64         `json:"Arriendo,omitzero"`
+	Delete string         `json:"Drop,omitempty"`
+}
+
+// Txn is a conditional transaction.
+type Txn struct {
+	If   []Guard `json:"Guards"`
+	Then []Write `json:"Writes,omitempty"`
+}
+
+// TxnResult answers a transaction.
+type TxnResult struct {
+	Revision uint64   `json:"Revision"`
+	Failed   []string `json:"failed"`
+	Error    string   `json:"error"`
+}
+
+// Event is one change in a follow's log.
+type Event struct {
+	Put     string         `json:"Write"`
+	Value   jsontext.Value `json:"Data"`
+	Delete  string         `json:"Drop"`
+	Version uint64         `json:"Edicion"`
+}
+
+// Follow answers a watch.
+type Follow struct {
+	Revision uint64  `json:"Revision"`
+	Events   []Event `json:"Log"`
+}
+
+// Hold asks for a lease.
+type Hold struct {
+	TTLMs int64 `json:"TtlMs"`
+}
+
+// HoldResult answers with the lease.
+type HoldResult struct {
+	Lease uint64 `json:"Arriendo"`
+}
