--- /dev/null
+++ b/internal/rehearsal/loopback_test.go
@@ -0,0 +1,366 @@
+package rehearsal
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// loopback runs the world in real time behind real sockets, for three
+// processes of the built program.
+type loopback struct {
+	t     *testing.T
+	mu    sync.Mutex
+	w     *World
+	begun time.Time
+	nodes [3]string
+	http  *http.Client
+}
+
+// catchUp brings the world to the present; the caller holds mu.
+func (l *loopback) catchUp() {
+	l.w.run(1_700_000_000*second + time.Since(l.begun).Microseconds())
+}
+
+func (l *loopback) do(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.catchUp()
+	f()
+}
+
+func (l *loopback) serve(h http.HandlerFunc) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		l.t.Error(err)
+		return "127.0.0.1:1"
+	}
+	srv := &http.Server{Handler: h}
+	go srv.Serve(ln)
+	l.t.Cleanup(func() { srv.Close() })
+	return ln.Addr().String()
+}
+
+func (l *loopback) reply(rw http.ResponseWriter, status int, body any) {
+	rw.WriteHeader(status)
+	if err := json.MarshalWrite(rw, body); err != nil {
+		l.t.Logf("reply: %v", err)
+	}
+}
+
+// state serves the state service's interface.
+func (l *loopback) state(rw http.ResponseWriter, req *http.Request) {
+	q := req.URL.Query()
+	num := func(s string) int { n, _ := strconv.Atoi(s); return n }
+	call := core.StoreCall{}
+	path := req.URL.Path
+	var err error
+	switch {
+	case path == "/store":
+		call.Op, call.Key = core.OpList, q.Get("Since")
+	case strings.HasPrefix(path, "/store/"):
+		call.Op, call.Key = core.OpGet, strings.TrimPrefix(path, "/store/")
+	case path == "/txn":
+		call.Op, call.Txn = core.OpTxn, &wire.Txn{}
+		err = json.UnmarshalRead(req.Body, call.Txn)
+	case path == "/holds":
+		var h wire.Hold
+		err = json.UnmarshalRead(req.Body, &h)
+		call.Op, call.TTLMs = core.OpHold, h.TTLMs
+	case strings.HasSuffix(path, "/extend"):
+		call.Op, call.Lease = core.OpExtend, uint64(num(strings.Split(path, "/")[2]))
+	case path == "/follow":
+		call.Op, call.Since, call.WaitMs = core.OpFollow, uint64(num(q.Get("Since"))), num(q.Get("BlockMs"))
+	}
+	if err != nil {
+		l.reply(rw, 400, wire.Error{Error: err.Error()})
+		return
+	}
+	got := make(chan *core.StoreReply, 1)
+	l.do(func() { l.w.store.call(l.w.nodes[0], call, func(r *core.StoreReply) { got <- r }) })
+	r := <-got
+	bodies := map[core.StoreOp]any{core.OpGet: r.Item, core.OpList: r.Items, core.OpTxn: r.Txn,
+		core.OpHold: wire.HoldResult{Lease: r.Lease}, core.OpExtend: struct{}{}, core.OpFollow: r.Follow}
+	l.reply(rw, r.Status, bodies[call.Op])
+}
+
+func (l *loopback) cloudAPI(rw http.ResponseWriter, req *http.Request) {
+	call := core.CloudCall{Rent: &wire.Rent{}}
+	var names wire.Names
+	switch {
+	case req.URL.Path == "/catalog":
+		call.Op = core.OpCatalog
+	case req.URL.Path == "/machines/delete":
+		call.Op = core.OpDelete
+		_ = json.UnmarshalRead(req.Body, &names)
+		call.Names = names.Machines
+	case req.Method == "POST":
+		call.Op = core.OpRent
+		_ = json.UnmarshalRead(req.Body, call.Rent)
+	default:
+		call.Op, call.After = core.OpMachines, req.URL.Query().Get("Since")
+	}
+	var r *core.CloudReply
+	l.do(func() { r = l.w.cloud.call(call) })
+	bodies := map[core.CloudOp]any{core.OpCatalog: r.Catalog, core.OpRent: wire.Names{Machines: r.Names},
+		core.OpDelete: struct{}{}, core.OpMachines: r.Machines}
+	l.reply(rw, r.Status, bodies[call.Op])
+}
+
+// listen serves a worker's commands.
+func (l *loopback) listen(wk *worker) string {
+	return l.serve(func(rw http.ResponseWriter, req *http.Request) {
+		var p wire.Push
+		if json.UnmarshalRead(req.Body, &p) != nil {
+			l.reply(rw, 400, struct{}{})
+			return
+		}
+		status, rep := 0, (*wire.Report)(nil)
+		l.do(func() {
+			if wk.up && !wk.gone {
+				status, rep = wk.commands(p)
+			}
+		})
+		if rep == nil {
+			panic(http.ErrAbortHandler) // no such machine any more
+		}
+		l.reply(rw, status, rep)
+	})
+}
+
+// report carries a worker's report; the caller holds mu.
+func (l *loopback) report(n int, r *wire.Report, f func(core.Answer)) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		l.t.Error(err)
+		return
+	}
+	go func() {
+		status, raw := l.ask("POST", n, "/v1/report", body)
+		a := core.Answer{Status: status}
+		var o wire.Orders
+		var d wire.Redirect
+		if status == 200 && json.Unmarshal(raw, &o) == nil {
+			a.Body = o
+		} else if json.Unmarshal(raw, &d) == nil {
+			a.Body = d
+		}
+		l.do(func() { f(a) })
+	}()
+}
+
+// ask sends a request to a controller; status 0: no answer.
+func (l *loopback) ask(method string, n int, path string, body []byte) (int, []byte) {
+	req, err := http.NewRequest(method, "http://"+l.nodes[n]+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, raw
+}
+
+// until repeats f at short intervals until it holds; the deadline is only
+// there so that a failure ends.
+func (l *loopback) until(what string, f func() bool) {
+	l.t.Helper()
+	for end := time.Now().Add(90 * time.Second); time.Now().Before(end); {
+		if f() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	l.t.Fatalf("never: %s", what)
+}
+
+// TestLoopback plays the built program: three processes, jobs, a cancel, bad
+// input and kills, with the rules checked throughout.
+func TestLoopback(t *testing.T) {
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "spurmoor")
+	if out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin, "spurmoor/cmd/spurmoor").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	sc, err := Parse([]byte("lease_s = 6\ncancel_s = 14\n[[type]]\nname = \"g4\"\ncpus = 24\ngpus = 4\nprice = 8\nboot_s = 0.5\ncount = 4\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loopback{t: t, begun: time.Now(), http: &http.Client{Timeout: 4 * time.Second}}
+	l.w = newWorld(sc, l)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			l.do(func() {})
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() { stop(); <-done })
+
+	state, cloud := l.serve(l.state), l.serve(l.cloudAPI)
+	var internal [3]string
+	for i := range 3 {
+		l.nodes[i], internal[i] = freePort(t), freePort(t)
+	}
+	var procs [3]*exec.Cmd
+	start := func(i int) {
+		set, err := sc.settingsFor(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := set.Platform
+		p.PublicAddr, p.InternalAddr, p.Endpoints.State, p.Endpoints.Cloud = l.nodes[i], internal[i], state, cloud
+		p.Peers = nil
+		for n := range 3 {
+			if n != i {
+				p.Peers = append(p.Peers, settings.Peer{Name: nodeName(n), Zone: "alta", Addr: internal[n]})
+			}
+		}
+		raw, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := filepath.Join(dir, nodeName(i)+".json")
+		if err := os.WriteFile(file, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		procs[i] = exec.Command(bin, "--config", file)
+		procs[i].Stderr = &lines{t: t, name: nodeName(i)}
+		if err := procs[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kill := func(i int) {
+		_ = procs[i].Process.Kill()
+		_ = procs[i].Wait()
+	}
+	for i := range 3 {
+		start(i)
+	}
+	t.Cleanup(func() {
+		for i := range 3 {
+			kill(i)
+		}
+	})
+	for i := range 3 {
+		l.until(nodeName(i)+" is ready", func() bool { s, _ := l.ask("GET", i, "/ready", nil); return s == 200 })
+	}
+	submit := func(n int, j Job) string {
+		spec := j.spec(n)
+		j.Kind = spec.Kind
+		l.do(func() { l.w.truth[spec.ID] = j })
+		l.until("accepts "+spec.ID, func() bool {
+			s, _ := l.ask("POST", n%3, "/work", submission(spec))
+			return s == 201 || s == 200
+		})
+		return spec.ID
+	}
+	state3 := func(id string, n int) string {
+		s, raw := l.ask("GET", n, "/work/"+id, nil)
+		var js wire.JobStatus
+		if s != 200 || json.Unmarshal(raw, &js) != nil {
+			return ""
+		}
+		return js.State
+	}
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"POST", "/work", "{", 400}, {"POST", "/work", "[]", 400}, {"GET", "/work/wk-999999", "", 404}, {"GET", "/nothing", "", 404},
+		{"PUT", "/work", "", 405}, {"POST", "/v1/report", "{}", 400},
+		{"POST", "/work", string(submission(Job{Team: "nobody", RunS: 1}.spec(77))), 422},
+		{"POST", "/work", `{"Id":"` + strings.Repeat("x", 70000) + `"}`, 400},
+	} {
+		l.until(fmt.Sprintf("%s %s is answered %d", c.method, c.path, c.status), func() bool {
+			s, _ := l.ask(c.method, 0, c.path, []byte(c.body))
+			return s == c.status
+		})
+	}
+	var ids []string
+	for n, j := range []Job{
+		{Tasks: 6, GPUs: 1, RunS: 1, Team: "norte"},
+		{Tasks: 2, GPUs: 4, RunS: 1, Team: "sur", Kind: wire.Gang, Priority: "urgent"},
+		{Tasks: 4, GPUs: 1, RunS: 2, Team: "oeste"},
+	} {
+		ids = append(ids, submit(n+1, j))
+	}
+	daemon := submit(10, Job{Tasks: 2, GPUs: 1, Team: "norte", Kind: wire.Daemon})
+	l.until("the service runs", func() bool { return state3(daemon, 1) == wire.Running })
+	for _, id := range ids {
+		l.until(id+" is done", func() bool { return state3(id, 2) == wire.Done })
+	}
+	more := submit(20, Job{Tasks: 6, GPUs: 1, RunS: 3, Team: "norte"})
+	kill(0)
+	last := submit(22, Job{Tasks: 2, GPUs: 1, RunS: 1, Team: "sur"})
+	start(0)
+	l.until(more+" is done", func() bool { return state3(more, 1) == wire.Done })
+	l.until(last+" is done", func() bool { return state3(last, 1) == wire.Done })
+	for i := range 3 {
+		kill(i)
+	}
+	for i := range 3 {
+		start(i)
+	}
+	l.until(daemon+" is cancelled", func() bool { s, _ := l.ask("POST", 2, "/work/"+daemon+"/cancel", nil); return s == 200 })
+	l.until("its replicas are gone", func() bool {
+		var on int
+		l.do(func() { on = len(l.w.check.on[daemon+"/0"]) + len(l.w.check.on[daemon+"/1"]) })
+		return on == 0
+	})
+	for _, id := range append(ids, more, last) {
+		l.until(id+" is still done", func() bool { return state3(id, 0) == wire.Done })
+	}
+	l.do(func() {
+		if len(l.w.check.broken) > 0 {
+			t.Errorf("broken: %q", l.w.check.broken)
+		}
+	})
+}
+
+func freePort(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// lines logs what a process writes.
+type lines struct {
+	t    *testing.T
+	name string
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	if os.Getenv("REHEARSAL_LOG") != "" {
+		l.t.Logf("%s %s", l.name, bytes.TrimSpace(b))
+	}
+	return len(b), nil
+}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -54,6 +54,9 @@
 	wk := &worker{w: w, name: name, addr: "10.1.0.1:" + strconv.Itoa(9000+len(w.workers)), typ: t, zone: zone, spot: spot,
 		born: w.now, session: 1, cached: map[string]bool{}, node: w.rng.IntN(3)}
 	w.workers = append(w.workers, wk)
+	if w.live != nil {
+		wk.addr = w.live.listen(wk)
+	}
 	w.after(int64(t.BootS*(0.6+0.9*w.rng.Float64())*float64(second)), func() {
 		if !wk.gone {
 			wk.up, wk.leased = true, w.now
@@ -165,6 +168,38 @@
 		}
 	}
 	w.after(4*second, func() { finish(w.now+second, (wk.node+1)%3) })
+	answered := func(a core.Answer) {
+		wk.awake(func() {
+			if wk.asking != ask || wk.session != session {
+				return // given up on, or of an earlier session
+			}
+			if o, ok := a.Body.(wire.Orders); ok && a.Status == 200 {
+				finish(wk.nextAt, wk.node)
+				if o.Token < wk.token {
+					return
+				}
+				wk.raise(o.Token)
+				wk.leased = sent
+				wk.obey(o.Commands)
+				return
+			}
+			other := (wk.node + 1) % 3
+			wait := second
+			if d, ok := a.Body.(wire.Redirect); ok && a.Status == 421 && d.To != "" && d.To != n.name {
+				for i, o := range w.nodes {
+					if o.name == d.To {
+						other, wait = i, w.rng.Int64N(second/2)
+					}
+				}
+			}
+			finish(w.now+wait, other)
+			wk.nextAt = w.now + wait
+		})
+	}
+	if w.live != nil {
+		w.live.report(wk.node, r, answered)
+		return
+	}
 	if !n.up {
 		w.after(second/100, func() { finish(w.now+second, (wk.node+1)%3); wk.nextAt = max(wk.nextAt, w.now+second) })
 		return
@@ -174,34 +209,7 @@
 			return
 		}
 		w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: r} }, func(a core.Answer) {
-			w.carry(n, "workers", func() {
-				wk.awake(func() {
-					if wk.asking != ask || wk.session != session {
-						return // given up on, or of an earlier session
-					}
-					if o, ok := a.Body.(wire.Orders); ok && a.Status == 200 {
-						finish(wk.nextAt, wk.node)
-						if o.Token < wk.token {
-							return
-						}
-						wk.raise(o.Token)
-						wk.leased = sent
-						wk.obey(o.Commands)
-						return
-					}
-					other := (wk.node + 1) % 3
-					wait := second
-					if d, ok := a.Body.(wire.Redirect); ok && a.Status == 421 && d.To != "" && d.To != n.name {
-						for i, o := range w.nodes {
-							if o.name == d.To {
-								other, wait = i, w.rng.Int64N(second/2)
-							}
-						}
-					}
-					finish(w.now+wait, other)
-					wk.nextAt = w.now + wait
-				})
-			})
+			w.carry(n, "workers", func() { answered(a) })
 		})
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -163,6 +163,9 @@
 		if strict, ok := err.(*toml.StrictMissingError); ok && len(strict.Errors) > 0 {
 			return ops, fmt.Errorf("unknown key %s", strings.Join(strict.Errors[0].Key(), "."))
 		}
+		if bad, ok := err.(*toml.DecodeError); ok && len(bad.Key()) > 0 {
+			return ops, fmt.Errorf("key %s: %w", strings.Join(bad.Key(), "."), err)
+		}
 		return ops, err
 	}
 	ranges := []struct {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/go-json-experiment/json"
+)
+
+// sound is a small settings file that passes.
+const sound = `{"node_name":"nodo-0","site":"a","public_addr":"10.0.0.1:8080","internal_addr":"10.0.0.1:8081",
+"known":[{"node_name":"nodo-1","site":"b","addr":"10.0.0.2:8081"}],"endpoints":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+"unheard_of":[1],"facts":{"nodes":2,"zones":["a","b"],"teams":[{"name":"x","gpus":8},{"name":"y","gpus":4},{"name":"z","gpus":4}],
+"workers":{"report_s":3,"lease_s":18,"gang_wait_s":45,"gang_peer_s":4,"cancel_s":48},
+"state":{"rps":150,"write_rps":60,"value_kb":16,"txn_ops":48},"cloud":{"rps":2,"list_lag_s":10},
+"machine_limits":{"cores":0.12,"mem_mb":98,"max_connections":1200},"time_bound_ms":5}}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(sound), Defaults())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Ops.Parts != 2 || s.TeamPart["x"] == s.TeamPart["y"] || s.TeamPart["y"] != s.TeamPart["z"] {
+		t.Errorf("guarantees 8, 4, 4 dealt into %d parts as %v", s.Ops.Parts, s.TeamPart)
+	}
+	bad := map[string][2]string{
+		"node_name":                     {`"node_name":"nodo-0",`, ``},
+		"public_addr":                   {`10.0.0.1:8080`, `localhost:8080`},
+		"endpoints.state":               {`10.2.0.1:2`, ``},
+		"known":                         {`"nodo-1"`, `"nodo-0"`},
+		"facts.workers.lease_s":         {`"lease_s":18`, `"lease_s":0`},
+		"facts.workers.cancel_s":        {`"cancel_s":48`, `"cancel_s":19`},
+		"facts.state.txn_ops":           {`"txn_ops":48`, `"txn_ops":2`},
+		"facts.machine_limits.mem_mb":   {`"mem_mb":98`, `"mem_mb":-1`},
+		"facts.teams":                   {`"name":"y"`, `"name":"x"`},
+		"facts.zones":                   {`"zones":["a","b"]`, `"zones":[]`},
+		"facts.cloud.rps":               {`"rps":2`, `"rps":0`},
+		"facts.machine_limits.cores":    {`"cores":0.12,`, ``},
+		"facts.teams: y has the amount": {`"name":"y","gpus":4`, `"name":"y","gpus":-4`},
+	}
+	for field, change := range bad {
+		text := strings.Replace(sound, change[0], change[1], 1)
+		if text == sound {
+			t.Fatalf("%s: the case changes nothing", field)
+		}
+		if _, err := Parse([]byte(text), Defaults()); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v does not name it", field, err)
+		}
+	}
+}
+
+func TestParseOperators(t *testing.T) {
+	ops, err := ParseOperators([]byte("cycle_s = 7\n[weights]\nwait = 0.5\n"))
+	if err != nil || ops.CycleS != 7 || ops.Weights.Wait != 0.5 || ops.Weights.Priority != Defaults().Weights.Priority {
+		t.Errorf("got %+v, %v", ops, err)
+	}
+	for text, want := range map[string]string{
+		"cycles = 7":              "cycles",
+		"parts = 1":               "parts = 1",
+		"cycle_s = 0.1":           "cycle_s = 0.1",
+		"[weights]\nwait = 2":     "weights.wait = 2",
+		"[weights]\nhunger = 1":   "weights.hunger",
+		"price_ceiling = nan":     "price_ceiling",
+		"queue_jobs = \"plenty\"": "queue_jobs",
+	} {
+		if _, err := ParseOperators([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v does not name %s", text, err, want)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := Parse(raw, Defaults())
+		if err != nil {
+			return
+		}
+		if s.Ops.Parts < 2 || s.Facts.Workers.CancelS <= s.Facts.Workers.LeaseS {
+			t.Errorf("senseless settings were taken: %+v", s)
+		}
+		if _, err := json.Marshal(s.Platform); err != nil {
+			t.Error(err)
+		}
+	})
+}
