--- a/cmd/spurmoor/main.go
+++ b/cmd/spurmoor/main.go
@@ -118,6 +118,7 @@
 // clients are the commands that talk to a running service.
 func clients() []*cobra.Command {
 	var addr string
+	var why bool
 	call := func(cmd *cobra.Command, method, path string, body []byte) error {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("http://" + addr + path)
@@ -158,8 +159,14 @@
 	}
 	status := &cobra.Command{
 		Use: "status ID", Short: "Show a job's state", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error { return call(cmd, "GET", "/work/"+args[0], nil) },
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if why {
+				return call(cmd, "GET", "/why/"+args[0], nil)
+			}
+			return call(cmd, "GET", "/work/"+args[0], nil)
+		},
 	}
+	status.Flags().BoolVar(&why, "why", false, "say why it waits and when it should be done")
 	cancel := &cobra.Command{
 		Use: "cancel ID", Short: "Cancel a job", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,11 @@
 		Req uint64
 		ID  string
 	}
+	// Explain is GET /why/{id}.
+	Explain struct {
+		Req uint64
+		ID  string
+	}
 	// Ready is GET /ready.
 	Ready struct{ Req uint64 }
 	// ReportIn is a worker's report.
@@ -208,6 +213,7 @@
 	wantCycle int64 // an early cycle is wanted at this time
 	summaryAt int64
 	why       map[string]string
+	ends      map[string]int64
 
 	hellos    map[string]*heard
 	helloAt   int64
@@ -256,6 +262,8 @@
 		c.poll(v)
 	case Cancel:
 		c.cancel(v)
+	case Explain:
+		c.explain(v)
 	case Ready:
 		c.ready(v)
 	case ReportIn:
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -25,7 +25,7 @@
 	}
 	c.cycleAt, c.wantCycle = c.now+secs(c.set.Ops.CycleS), 0
 	c.asks = nil
-	c.why = map[string]string{}
+	c.why, c.ends = map[string]string{}, map[string]int64{}
 	if len(c.types) == 0 {
 		return
 	}
@@ -275,6 +275,11 @@
 	for id, why := range plan.Why {
 		c.why[id] = why
 	}
+	for id, end := range plan.Ends {
+		if jobs[id] != nil {
+			c.ends[id] = end
+		}
+	}
 }
 
 func (j *job) lastAttempt() uint64 {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -226,3 +226,35 @@
 	}
 	c.answer(v.Req, 200, struct{}{})
 }
+
+// explain says why a job waits and when it should be done. Estimates are often
+// wrong by half, so that much is said to either side.
+func (c *Core) explain(v Explain) {
+	c.lookup(v.ID, func(f found, s wire.JobStatus) {
+		j := c.jobs[v.ID]
+		switch {
+		case f == never:
+			c.refuse(v.Req, 404, "no such job", 0)
+		case f == unknown:
+			c.refuse(v.Req, 503, "the state service did not answer", 1)
+		case j == nil || j.over || j.cancelled:
+			c.answer(v.Req, 200, wire.Explanation{ID: v.ID, State: s.State})
+		default:
+			e := wire.Explanation{ID: v.ID, State: s.State, Holder: c.parts[j.part].rec.Node, Why: c.why[v.ID],
+				WaitedS: float64(c.now-j.at) / float64(Second)}
+			switch {
+			case e.Holder == "":
+				e.Why = "no controller holds its team's part at the moment"
+			case !c.parts[j.part].held:
+				e.Why = "ask " + e.Holder + ", which plans it"
+			case c.now < j.holdOff:
+				e.Why = "it failed on every machine that it was tried on; tried again later"
+			}
+			if end := c.ends[v.ID]; end > c.now && j.spec.Kind != wire.Daemon {
+				e.DoneInS = float64(end-c.now) / float64(Second)
+				e.Earliest, e.Latest = e.DoneInS/2, e.DoneInS*3/2
+			}
+			c.answer(v.Req, 200, e)
+		}
+	})
+}
--- a/internal/rehearsal/loopback_test.go
+++ b/internal/rehearsal/loopback_test.go
@@ -312,6 +312,19 @@
 	}
 	daemon := submit(10, Job{Tasks: 2, GPUs: 1, Team: "norte", Kind: wire.Daemon})
 	l.until("the service runs", func() bool { return state3(daemon, 1) == wire.Running })
+	// A job that nothing can run for now says so, to whoever asks its holder.
+	wide := submit(13, Job{Tasks: 30, GPUs: 4, RunS: 60, Team: "norte"})
+	l.until("it is said why "+wide+" waits and when it should be done", func() bool {
+		for n := range 3 {
+			s, raw := l.ask("GET", n, "/why/"+wide, nil)
+			var e wire.Explanation
+			if s == 200 && json.Unmarshal(raw, &e) == nil && e.Holder == nodeName(n) && e.Why != "" && e.DoneInS > 0 && e.Earliest < e.DoneInS && e.DoneInS < e.Latest {
+				return true
+			}
+		}
+		return false
+	})
+	l.until(wide+" is cancelled", func() bool { s, _ := l.ask("POST", 1, "/work/"+wide+"/cancel", nil); return s == 200 })
 	for _, id := range ids {
 		l.until(id+" is done", func() bool { return state3(id, 2) == wire.Done })
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -141,6 +141,7 @@
 	Rentals   []Rental
 	Borrow    []*Machine
 	Why       map[string]string // job → why it waits
+	Ends      map[string]int64  // job → when its last task should end, by the estimates
 }
 
 type planner struct {
@@ -154,7 +155,14 @@
 // Make plans one cycle.
 func Make(v *View) *Plan {
 	p := &planner{View: v, types: map[string]*wire.MachineType{}, reserved: map[*Machine]int64{}, resFor: map[*Machine]*Job{}}
-	p.plan.Why = map[string]string{}
+	p.plan.Why, p.plan.Ends = map[string]string{}, map[string]int64{}
+	for _, m := range v.Machines {
+		for _, u := range m.Uses {
+			if u.Job != nil {
+				p.ends(u.Job, u.End)
+			}
+		}
+	}
 	for i := range v.Types {
 		p.types[v.Types[i].Name] = &v.Types[i]
 	}
@@ -193,6 +201,10 @@
 	return int64(j.Spec.ImageGB / t.FetchGBs * float64(Second))
 }
 
+func (p *planner) ends(j *Job, at int64) {
+	p.plan.Ends[j.ID] = max(p.plan.Ends[j.ID], at)
+}
+
 // rank sorts the jobs by the design's weighted sum.
 func (p *planner) rank() {
 	w := p.Ops.Weights
@@ -337,6 +349,7 @@
 		end += p.fetch(j, m.Type)
 	}
 	m.Uses = append(m.Uses, Use{Job: j, Index: -1, Need: j.Need, End: end})
+	p.ends(j, end)
 	p.plan.Starts = append(p.plan.Starts, Start{j, m})
 }
 
@@ -663,7 +676,7 @@
 		}
 		for n := min(j.blocked, 400); n > 0; n-- {
 			if total >= 12 {
-				p.order(rent, order)
+				p.rentals(rent, order)
 				return
 			}
 			m, at := p.soonest(j, virtual)
@@ -679,6 +692,7 @@
 				m.Free = m.Free.Add(j.Need, -1)
 				end := at + int64(j.Spec.EstimateS*float64(Second)) + p.fetch(j, m.Type)
 				m.Uses = append(slices.Clone(m.Uses), Use{Job: j, Index: -1, Need: j.Need, End: end})
+				p.ends(j, end)
 				continue
 			}
 			if typ == nil {
@@ -690,16 +704,18 @@
 				order = append(order, kind)
 			}
 			rent[kind]++
+			p.ends(j, boot+int64(j.Spec.EstimateS*float64(Second))+p.fetch(j, typ))
 			full := ResOf(typ.CPUs, typ.GPUs, typ.MemoryGB)
 			virtual = append(virtual, &Machine{Type: typ, Zone: kind.Zone, Spot: kind.Spot, Total: full, Free: full.Add(j.Need, -1),
 				ReadyAt: boot, Uses: []Use{{Job: j, Index: -1, Need: j.Need, End: boot + int64(j.Spec.EstimateS*float64(Second)) + p.fetch(j, typ)}}})
 			p.plan.Why[j.ID] = "waits for a rented machine to boot"
 		}
 	}
-	p.order(rent, order)
+	p.rentals(rent, order)
 }
 
-func (p *planner) order(rent map[Kind]int, order []Kind) {
+// rentals puts what is to be rented into the plan, in the order of its demand.
+func (p *planner) rentals(rent map[Kind]int, order []Kind) {
 	for _, k := range order {
 		p.plan.Rentals = append(p.plan.Rentals, Rental{k, rent[k]})
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -290,6 +290,9 @@
 			return
 		}
 		handle = func(req uint64) any { return core.ReportIn{Req: req, Report: r} }
+	case strings.HasPrefix(path, "/why/"):
+		id := path[len("/why/"):]
+		handle = func(req uint64) any { return core.Explain{Req: req, ID: id} }
 	case strings.HasPrefix(path, "/work/"):
 		id, cancel := strings.CutSuffix(path[len("/work/"):], "/cancel")
 		if cancel {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -233,6 +233,19 @@
 	Running *int   `json:"running,omitempty"`
 }
 
+// Explanation says why a job waits and when it should be done. It is an
+// interface of our own, for owners and operators.
+type Explanation struct {
+	ID       string  `json:"id"`
+	State    string  `json:"state"`
+	Holder   string  `json:"holder,omitempty"` // the controller that plans it
+	Why      string  `json:"why,omitempty"`
+	WaitedS  float64 `json:"since_submission_s"`
+	DoneInS  float64 `json:"done_in_s,omitzero"` // expected
+	Earliest float64 `json:"earliest_s,omitzero"`
+	Latest   float64 `json:"latest_s,omitzero"`
+}
+
 // Error is the body of a refusal.
 type Error struct {
 	Error string `json:"error"`
