--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"strconv"
 
 	"spurmoor/internal/sched"
@@ -156,8 +157,7 @@
 	for _, p := range c.parts {
 		if p.held {
 			c.info("stray machine adopted", "machine", name, "type", typ, "how", how)
-			c.record(p, pageRecord{Type: typ, Zone: zone, Spot: spot, Home: p.idx, Cur: p.idx,
-				Machines: []pageMachine{{Name: name, At: c.now}}}, true, func() {})
+			c.record(p, []machineRow{{Name: name, Type: typ, Zone: zone, Spot: spot, Home: p.idx, Cur: p.idx, At: c.now}}, true, func() {})
 			return
 		}
 	}
@@ -192,11 +192,14 @@
 				p.renting(c, k, len(r.Names)-req.Count)
 				c.early(Second / 5)
 			}
-			rec := pageRecord{Type: k.Type, Zone: k.Zone, Spot: k.Spot, Home: p.idx, Cur: p.idx}
-			for _, name := range r.Names {
-				rec.Machines = append(rec.Machines, pageMachine{Name: name, At: c.now})
+			// As many at a time as leave room in an entry of the log.
+			for names := range slices.Chunk(r.Names, max(1, int(c.set.Facts.State.ValueKB*400/(2*rowBytes)))) {
+				var rows []machineRow
+				for _, name := range names {
+					rows = append(rows, machineRow{Name: name, Type: k.Type, Zone: k.Zone, Spot: k.Spot, Home: p.idx, Cur: p.idx, At: c.now})
+				}
+				c.record(p, rows, false, func() { p.renting(c, k, -len(names)) })
 			}
-			c.record(p, rec, false, func() { p.renting(c, k, -len(r.Names)) })
 			return
 		}
 		if r.Status == 0 && try < 4 && p.held {
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -1,8 +1,8 @@
 package core
 
 import (
+	"cmp"
 	"slices"
-	"strconv"
 
 	"github.com/go-json-experiment/json"
 
@@ -84,63 +84,50 @@
 	c.txns = live
 }
 
-// entry is what is kept of an entry of a part's log: which tasks it told of.
+// entry is an entry of a part's log.
 type entry struct {
 	seq  uint64
+	slot int
 	ver  uint64
 	runs []run
+	rows []machineRow
 }
 
-// logged notes an entry; its place is by its number.
-func (p *part) logged(seq, ver uint64, runs []run) {
-	at, found := slices.BinarySearchFunc(p.log, seq, func(e entry, s uint64) int {
-		switch {
-		case e.seq < s:
-			return -1
-		case e.seq > s:
-			return 1
+// logged notes an entry in the place of what its slot held before.
+func (c *Core) logged(p *part, e entry) {
+	for _, r := range e.rows {
+		c.rows[r.Name]++
+	}
+	p.log = slices.DeleteFunc(p.log, func(o entry) bool {
+		if o.slot != e.slot {
+			return false
+		}
+		for _, r := range o.rows {
+			if c.rows[r.Name]--; c.rows[r.Name] == 0 {
+				delete(c.rows, r.Name)
+				delete(c.tombs, r.Name)
+			}
 		}
-		return 0
+		return true
 	})
-	if found {
-		p.log[at] = entry{seq, ver, runs}
-		return
-	}
-	p.log = slices.Insert(p.log, at, entry{seq, ver, runs})
-}
-
-// lastEntry is the newest entry of a part's log.
-func (p *part) lastEntry() entry {
-	if len(p.log) == 0 {
-		return entry{}
-	}
-	return p.log[len(p.log)-1]
-}
-
-// newPage is a page of machines that a part is to record.
-type newPage struct {
-	rec   pageRecord
-	adopt bool // strays: others' logs and rentals are guarded against
-	then  func()
+	at, _ := slices.BinarySearchFunc(p.log, e.seq, func(o entry, seq uint64) int { return cmp.Compare(o.seq, seq) })
+	p.log = slices.Insert(p.log, at, e)
 }
 
 // flush is the one transaction of a part that is out: all that was decided,
-// as far as it fits. It guards the part's key, that the newest entry of the
-// log is the one known and that the next is not there. Entries are dropped
-// oldest first and never the newest, so that of several copies of a flush at
-// most one is ever carried out: once the entry it wrote was dropped, the one
-// it guards was too.
+// as far as it fits. It guards the part's key and the version of the slot that
+// its first entry goes to, which never comes back: of several copies at most
+// one is ever carried out.
 type flush struct {
 	*txn
-	seq    uint64 // of its first entry
-	logs   [][]run
-	tasks  []sentTask
-	finals []*job
-	states []finalRecord
-	ops    []sentOp
-	pages  map[string]pageRecord // empty: dropped
-	fresh  []*newPage
-	drops  []uint64
+	was     uint64 // version of its first slot before
+	entries []entry
+	size    int // of the last entry
+	tasks   []sentTask
+	finals  []*job
+	states  []finalRecord
+	ops     []sentOp
+	fresh   []*newMachines
 }
 
 type sentTask struct {
@@ -156,14 +143,23 @@
 	op machineOp
 }
 
-// Sizes of what is written. logKept entries stay before the oldest are
-// written anew and dropped.
+// newMachines are machines that a part is to record.
+type newMachines struct {
+	rows  []machineRow
+	adopt bool // strays: others' logs and rentals are guarded against
+	then  func()
+}
+
+// Sizes of what is written. A log has at least so many slots.
 const (
 	maxTxnBytes = 40 << 10
-	logKept     = 100
-	runBytes    = 90 // a run's longest form
+	minSlots    = 64
+	runBytes    = 60 // a run without its names
+	rowBytes    = 110
 )
 
+func (r machineRow) size() int { return rowBytes + len(r.Name) + len(r.Type) + len(r.Zone) }
+
 // budget is how many changes a controller may make: a share of what the
 // state service admits, by the parts held. Users' accepts and cancellations
 // are not held back by it but count, so that they never wait behind flushes.
@@ -218,26 +214,14 @@
 	}
 }
 
-// build gathers a part's flush in at most so many writes.
+// build gathers a part's flush in at most so many writes: finals first, for
+// their users wait, then machines, then tasks, of which a flush may hold
+// thousands.
 func (c *Core) build(p *part, most int) *flush {
-	last := p.lastEntry()
-	f := &flush{txn: &txn{}, seq: last.seq + 1, pages: map[string]pageRecord{}}
+	f := &flush{txn: &txn{}}
 	conds := 4 * c.set.Facts.State.TxnOps
-	bytes := 0
 	guard := func(key string, ver uint64) { f.req.If = append(f.req.If, wire.Guard{Key: key, Version: ver}) }
-	put := func(key string, v any) {
-		b := mustJSON(v)
-		bytes += len(b) + 80
-		f.req.Then = append(f.req.Then, wire.Write{Put: key, Value: b})
-	}
 	guard(p.key(), p.ver)
-	guard(entryKey(p.idx, last.seq), last.ver)
-	guard(entryKey(p.idx, f.seq), 0)
-	room := func(n int) bool {
-		return len(f.req.Then)+n < most && len(f.req.If)+n < conds && bytes < maxTxnBytes*3/4
-	}
-
-	c.buildFresh(p, f, room, guard, put)
 	ids := sorted(p.dirty)
 	for _, id := range ids {
 		j := c.jobs[id]
@@ -252,7 +236,7 @@
 			}
 			continue
 		}
-		if !room(2) {
+		if len(f.req.Then)+2 >= most || len(f.req.If)+2 > conds/2 {
 			continue
 		}
 		rec := finalRecord{State: wire.Done, Done: j.nDone}
@@ -260,181 +244,225 @@
 			rec.State = wire.Cancelled
 		}
 		guard(jobKey+id, j.ver)
-		put(overKey+id, rec)
-		f.req.Then = append(f.req.Then, wire.Write{Delete: jobKey + id})
+		f.req.Then = append(f.req.Then, wire.Write{Put: overKey + id, Value: mustJSON(rec)}, wire.Write{Delete: jobKey + id})
 		f.finals, f.states = append(f.finals, j), append(f.states, rec)
 	}
-	c.buildOps(p, f, room, guard, put)
-	c.buildLog(p, f, ids, most, (maxTxnBytes+8<<10-bytes)/int(c.set.Facts.State.ValueKB*1000+80), guard)
-	for i, runs := range f.logs {
-		put(entryKey(p.idx, f.seq+uint64(i)), logRecord{runs})
-	}
-	for _, seq := range f.drops {
-		f.req.Then = append(f.req.Then, wire.Write{Delete: entryKey(p.idx, seq)})
+	b := &builder{c: c, p: p, f: f, guard: guard, conds: conds, limit: min(maxTxnBytes/2, int(c.set.Facts.State.ValueKB*1000)-400)}
+	b.most = min(most-len(f.req.Then), maxTxnBytes/b.limit)
+	b.seen = map[*task]bool{}
+	if b.open(false) {
+		b.fresh()
+		b.ops()
+		b.tasks(ids)
 	}
-	if len(f.finals) == 0 && len(f.ops) == 0 && len(f.fresh) == 0 && len(f.tasks) == 0 && len(f.drops) == 0 {
+	if len(f.finals) == 0 && len(f.ops) == 0 && len(f.fresh) == 0 && len(f.tasks) == 0 {
 		return nil
 	}
+	for _, e := range f.entries {
+		f.req.Then = append(f.req.Then, wire.Write{Put: slotKey(p.idx, e.slot), Value: mustJSON(logRecord{e.seq, e.runs, e.rows})})
+	}
 	f.ok = func(rev uint64) { c.flushed(p, rev) }
 	f.failed = func() { c.unflushed(p) }
 	return f
 }
 
-// buildFresh records machines rented and adopted. Adoptions and rentals
-// exclude each other: an adoption changes a key that rentals guard, and
-// guards that no other part's log went on unseen.
-func (c *Core) buildFresh(p *part, f *flush, room func(int) bool, guard func(string, uint64), put func(string, any)) {
-	left := p.fresh[:0]
-	adopted := false
-	for i, n := range p.fresh {
-		n.rec.Machines = slices.DeleteFunc(n.rec.Machines, func(r pageMachine) bool { return c.machines[r.Name] != nil })
-		if len(n.rec.Machines) == 0 {
-			n.then()
-			continue
+// builder fills the log entries of a flush.
+type builder struct {
+	c     *Core
+	p     *part
+	f     *flush
+	guard func(key string, ver uint64)
+	conds int
+	limit int // bytes of an entry
+	most  int // entries
+	slots int // new ones taken
+	kept  int // bytes written anew into the last entry
+	seen  map[*task]bool
+}
+
+// open begins an entry: in a new slot while the log is short or so full that
+// what is written anew leaves little room, else in the oldest entry's, whose
+// rows and runs that still hold go into it first.
+func (b *builder) open(grow bool) bool {
+	k := len(b.f.entries)
+	if k >= b.most {
+		return false
+	}
+	e := entry{seq: 1}
+	if n := len(b.p.log); n > 0 {
+		e.seq = b.p.log[n-1].seq + 1 + uint64(k)
+	}
+	reused := k - b.slots
+	b.f.size, b.kept = 30, 0
+	if grow || len(b.p.log)-reused < minSlots {
+		e.slot = len(b.p.log) + b.slots
+		b.slots++
+		b.f.entries = append(b.f.entries, e)
+	} else {
+		old := b.p.log[reused]
+		e.slot = old.slot
+		b.f.entries = append(b.f.entries, e)
+		b.keep(old)
+	}
+	if k == 0 {
+		for _, o := range b.p.log {
+			if o.slot == e.slot {
+				b.f.was = o.ver
+			}
 		}
-		extra := 1
-		if n.adopt && !adopted {
-			extra += 1 + 2*len(c.parts)
+		b.guard(slotKey(b.p.idx, e.slot), b.f.was)
+	}
+	return true
+}
+
+// room has room for so many bytes, in a new entry if need be.
+func (b *builder) room(n int) bool {
+	for b.f.size+n > b.limit {
+		if !b.open(b.kept > b.limit/2) {
+			return false
 		}
-		if !room(extra) {
-			left = append(left, p.fresh[i:]...)
-			break
+	}
+	b.f.size += n
+	return true
+}
+
+// keep writes anew what an entry alone still holds. It always fits: an entry
+// is no larger than another.
+func (b *builder) keep(old entry) {
+	c, p := b.c, b.p
+	last := &b.f.entries[len(b.f.entries)-1]
+	for _, r := range old.rows {
+		here := origin{r.Epoch, p.idx, old.seq}
+		if m := c.machines[r.Name]; m != nil && m.from == here {
+			last.rows = append(last.rows, m.rec)
+			b.f.size += r.size()
+		} else if t, ok := c.tombs[r.Name]; ok && t == here && c.rows[r.Name] > 1 {
+			last.rows = append(last.rows, r)
+			b.f.size += r.size()
 		}
-		if len(f.fresh) == 0 {
-			guard(adoptKey, c.adoptVer)
+	}
+	for _, r := range old.runs {
+		j := c.jobs[r.Job]
+		if j == nil || j.over || slices.Contains(b.f.finals, j) {
+			continue
 		}
-		if n.adopt && !adopted {
-			adopted = true
-			put(adoptKey, struct{}{})
-			for _, o := range c.parts {
-				if o == p {
-					continue
-				}
-				if last := o.lastEntry(); last.seq > 0 {
-					guard(entryKey(o.idx, last.seq), last.ver)
+		for n := r.From; n < r.From+r.count() && n < j.spec.Tasks; n++ {
+			if t := j.touch(n); t.logged == old.seq && !b.seen[t] {
+				gen := t.gen
+				if t.changed {
+					gen-- // what it became since is still to be committed
 				}
-				guard(entryKey(o.idx, o.lastEntry().seq+1), 0)
+				b.add(sentTask{j, n, gen, t.kept, 0})
 			}
 		}
-		key := c.pageName(p)
-		put(key, n.rec)
-		f.pages[key] = n.rec
-		f.fresh = append(f.fresh, n)
-		left = append(left, n)
 	}
-	clear(p.fresh[len(left):])
-	p.fresh = left
-}
-
-// pageName names a new page; never used before, by this process's number.
-func (c *Core) pageName(p *part) string {
-	c.pageSeq++
-	return pageKey + strconv.Itoa(p.idx) + "-" + strconv.FormatUint(c.inc, 36) + "-" + strconv.Itoa(c.pageSeq)
+	b.kept = b.f.size
 }
 
-// buildOps rewrites the pages of machines whose records change.
-func (c *Core) buildOps(p *part, f *flush, room func(int) bool, guard func(string, uint64), put func(string, any)) {
-	byPage := map[string][]*machine{}
-	left := p.ops[:0]
-	for _, m := range p.ops {
-		if m.op != opNone && c.machines[m.name] == m && m.rec.Cur == p.idx {
-			left = append(left, m)
-			byPage[m.page.key] = append(byPage[m.page.key], m)
+// add logs a task in the last entry, joined to the run before if it is like it.
+func (b *builder) add(s sentTask) {
+	last := &b.f.entries[len(b.f.entries)-1]
+	s.seq = last.seq
+	b.f.tasks = append(b.f.tasks, s)
+	if k := len(last.runs) - 1; k >= 0 {
+		r := &last.runs[k]
+		if r.Job == s.j.id && r.From+r.count() == s.n && (standing{r.State, r.Attempt, r.Machine}) == s.s {
+			r.N = r.count() + 1
+			return
 		}
 	}
-	clear(p.ops[len(left):])
-	p.ops = left
-	for _, key := range sorted(byPage) {
-		ms := byPage[key]
-		pg := c.pages[key]
-		if pg == nil {
-			continue
-		}
-		to := map[int][]pageMachine{}
-		ops := map[string]machineOp{}
-		for _, m := range ms {
-			ops[m.name] = m.op
-		}
-		first := c.machines[pg.names[0]].rec
-		rec := pageRecord{Type: first.Type, Zone: first.Zone, Spot: first.Spot, Home: first.Home, Cur: p.idx}
-		for _, name := range pg.names {
-			m := c.machines[name]
-			r := pageMachine{Name: name, At: m.rec.At, Gone: m.rec.Gone, Token: m.floor}
-			switch ops[name] {
-			case opGone:
-				r.Gone = true
-			case opForget:
-				continue
-			case opToken:
-				r.Token = 0
-			case opMove:
-				r.Token = 0
-				to[m.opTo] = append(to[m.opTo], r)
+	b.f.size += runBytes + len(s.j.id) + len(s.s.machine)
+	last.runs = append(last.runs, run{Job: s.j.id, From: s.n, State: s.s.state, Attempt: s.s.attempt, Machine: s.s.machine})
+}
+
+func (b *builder) row(r machineRow) {
+	last := &b.f.entries[len(b.f.entries)-1]
+	last.rows = append(last.rows, r)
+}
+
+// fresh records machines rented and adopted. Adoptions and rentals exclude
+// each other: an adoption changes a key that rentals guard, and guards that no
+// other part's log went on unseen, which would change its oldest slot or
+// begin a new one.
+func (b *builder) fresh() {
+	c, p := b.c, b.p
+	adopts := false
+	for _, n := range p.fresh {
+		n.rows = slices.DeleteFunc(n.rows, func(r machineRow) bool { return c.machines[r.Name] != nil })
+		if n.adopt && !adopts {
+			if len(b.f.req.If)+3*len(c.parts) > b.conds || b.most <= len(b.f.entries) {
 				continue
 			}
-			rec.Machines = append(rec.Machines, r)
+			adopts = true
+			b.most--
+			b.f.req.Then = append(b.f.req.Then, wire.Write{Put: adoptKey, Value: mustJSON(struct{}{})})
+			for _, o := range c.parts {
+				if o == p {
+					continue
+				}
+				b.guard(slotKey(o.idx, len(o.log)), 0)
+				if len(o.log) > 0 {
+					b.guard(slotKey(o.idx, o.log[0].slot), o.log[0].ver)
+				}
+			}
 		}
-		if !room(1 + len(to)) {
-			continue
+		size := 0
+		for _, r := range n.rows {
+			size += r.size()
 		}
-		guard(key, pg.ver)
-		if len(rec.Machines) == 0 {
-			f.req.Then = append(f.req.Then, wire.Write{Delete: key})
-		} else {
-			put(key, rec)
-		}
-		f.pages[key] = rec
-		for i := range c.parts {
-			if to[i] != nil {
-				moved := rec
-				moved.Cur, moved.Machines = i, to[i]
-				k := c.pageName(c.parts[i])
-				put(k, moved)
-				f.pages[k] = moved
-			}
+		if !b.room(size) {
+			break
 		}
-		for _, m := range ms {
-			f.ops = append(f.ops, sentOp{m, m.op})
+		if len(b.f.fresh) == 0 {
+			b.guard(adoptKey, c.adoptVer)
 		}
+		for _, r := range n.rows {
+			r.Epoch = c.tombs[r.Name].epoch + 1
+			b.row(r)
+		}
+		b.f.fresh = append(b.f.fresh, n)
 	}
 }
 
-// buildLog writes what changed of tasks, and anew what the oldest entries
-// alone still hold, so that these can go. A start guards its job's key: it
-// and a cancellation cannot both win.
-func (c *Core) buildLog(p *part, f *flush, ids []string, most, entries int, guard func(string, uint64)) {
-	size, limit := 0, min(maxTxnBytes/2, int(c.set.Facts.State.ValueKB*1000)-200)
-	f.logs = [][]run{nil}
-	inFlush := map[*task]bool{}
-	add := func(j *job, n int, t *task) bool {
-		k := len(f.logs) - 1
-		if last := len(f.logs[k]) - 1; last >= 0 {
-			r := &f.logs[k][last]
-			if r.Job == j.id && r.From+r.count() == n && (standing{r.State, r.Attempt, r.Machine}) == t.standing {
-				r.N = r.count() + 1
-				f.tasks = append(f.tasks, sentTask{j, n, t.gen, t.standing, f.seq + uint64(k)})
-				return true
-			}
+// ops records what is to become of machines.
+func (b *builder) ops() {
+	left := b.p.ops[:0]
+	for _, m := range b.p.ops {
+		if m.op != opNone && b.c.machines[m.name] == m && m.rec.Cur == b.p.idx {
+			left = append(left, m)
 		}
-		if size+runBytes > limit {
-			if len(f.req.Then)+len(f.logs) >= most || len(f.logs) >= entries {
-				return false
-			}
-			f.logs, size, k = append(f.logs, nil), 0, k+1
+	}
+	clear(b.p.ops[len(left):])
+	b.p.ops = left
+	for _, m := range left {
+		if !b.room(m.rec.size()) {
+			return
 		}
-		size += runBytes - 30 + len(j.id) + len(t.machine)
-		f.logs[k] = append(f.logs[k], run{Job: j.id, From: n, State: t.state, Attempt: t.attempt, Machine: t.machine})
-		f.tasks = append(f.tasks, sentTask{j, n, t.gen, t.standing, f.seq + uint64(k)})
-		return true
+		r := m.rec
+		switch m.op {
+		case opGone:
+			r.Gone = true
+		case opForget:
+			r = machineRow{Name: r.Name, Cur: r.Cur, Dead: true, Epoch: r.Epoch + 1}
+		case opToken:
+			r.Token = 0
+		case opMove:
+			r.Cur, r.Token = m.opTo, 0
+			r.Epoch++
+		}
+		b.row(r)
+		b.f.ops = append(b.f.ops, sentOp{m, m.op})
 	}
+}
+
+// tasks logs what changed of tasks. A start guards its job's key: it and a
+// cancellation cannot both win.
+func (b *builder) tasks(ids []string) {
 	for _, id := range ids {
-		j := c.jobs[id]
-		if j == nil || j.nChanged == 0 || slices.Contains(f.finals, j) {
+		j := b.c.jobs[id]
+		if j == nil || j.nChanged == 0 || slices.Contains(b.f.finals, j) {
 			continue
 		}
-		if len(f.req.If) >= 4*c.set.Facts.State.TxnOps-1 {
-			break
-		}
 		guarded := false
 		for _, k := range j.chunkList() {
 			for i := range j.chunks[k] {
@@ -442,42 +470,22 @@
 				if !t.changed {
 					continue
 				}
-				if !add(j, k*chunkSize+i, t) {
-					return
-				}
-				inFlush[t] = true
 				if t.state == placed && !guarded {
+					if len(b.f.req.If) >= b.conds {
+						continue
+					}
 					guarded = true
-					guard(jobKey+id, j.ver)
+					b.guard(jobKey+id, j.ver)
 				}
-			}
-		}
-	}
-	// The oldest entries go, a few with each flush.
-	for len(p.log)-len(f.drops) > logKept && len(f.drops) < 3 && len(f.req.Then)+len(f.logs)+len(f.drops) < most {
-		e := p.log[len(f.drops)]
-		for _, r := range e.runs {
-			j := c.jobs[r.Job]
-			if j == nil || j.over || slices.Contains(f.finals, j) {
-				continue
-			}
-			for n := r.From; n < r.From+r.count() && n < j.spec.Tasks; n++ {
-				t := j.touch(n)
-				if t.logged != e.seq || inFlush[t] {
-					continue
-				}
-				kept := *t
-				kept.standing = t.kept
-				if !add(j, n, &kept) {
+				n := runBytes + len(id) + len(t.machine)
+				if !b.room(n) {
 					return
 				}
-				if t.changed { // what it became since is still to be committed
-					f.tasks[len(f.tasks)-1].gen--
-				}
-				inFlush[t] = true
+				b.f.size -= n // add counts it, unless it joins the run before
+				b.seen[t] = true
+				b.add(sentTask{j, k*chunkSize + i, t.gen, t.standing, 0})
 			}
 		}
-		f.drops = append(f.drops, e.seq)
 	}
 }
 
@@ -488,10 +496,20 @@
 		return
 	}
 	p.flush, f.over = nil, true
-	for i, runs := range f.logs {
-		p.logged(f.seq+uint64(i), rev, runs)
+	for _, e := range f.entries {
+		e.ver = rev
+		c.logged(p, e)
+	}
+	for _, s := range f.ops {
+		if s.m.op == s.op {
+			s.m.op = opNone
+		}
+	}
+	for _, e := range f.entries {
+		for _, r := range e.rows {
+			c.applyRow(r, origin{r.Epoch, p.idx, e.seq}, rev)
+		}
 	}
-	p.log = slices.DeleteFunc(p.log, func(e entry) bool { return slices.Contains(f.drops, e.seq) })
 	for _, s := range f.tasks {
 		if c.jobs[s.j.id] != s.j {
 			continue
@@ -517,23 +535,7 @@
 		c.finals.add(j.id, f.states[i])
 		c.info("job over", "job", j.id, "state", f.states[i].State, "after_s", (c.now-j.at)/Second)
 	}
-	for _, s := range f.ops {
-		if s.m.op == s.op {
-			s.m.op = opNone
-		}
-	}
-	for _, key := range sorted(f.pages) {
-		// Unless the mirror is past it already: it may have changed since.
-		if rev > c.rev {
-			if len(f.pages[key].Machines) > 0 {
-				c.applyPage(key, f.pages[key], rev)
-			} else {
-				c.drop(key, rev)
-			}
-		}
-	}
-	c.bury()
-	p.fresh = slices.DeleteFunc(p.fresh, func(n *newPage) bool {
+	p.fresh = slices.DeleteFunc(p.fresh, func(n *newMachines) bool {
 		sent := slices.Contains(f.fresh, n)
 		if sent {
 			n.then()
@@ -549,7 +551,7 @@
 // cancelled meanwhile, say. The mirror is newer than the refusal, so the next
 // flush says the same in the light of it. Strays can wait.
 func (c *Core) unflushed(p *part) {
-	p.fresh = slices.DeleteFunc(p.fresh, func(n *newPage) bool {
+	p.fresh = slices.DeleteFunc(p.fresh, func(n *newMachines) bool {
 		if n.adopt {
 			n.then()
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -171,9 +171,9 @@
 	rev      uint64
 	parts    []*part
 	machines map[string]*machine
-	order    []*machine // by name
-	pages    map[string]*page
-	unpaged  []string // machines that some page no longer has
+	order    []*machine        // by name
+	tombs    map[string]origin // machines deleted, while some log still names them
+	rows     map[string]int    // how many entries of all logs name a machine
 	adoptVer uint64
 	jobs     map[string]*job
 	finals   *finals
@@ -196,7 +196,6 @@
 	txns    []*txn
 	writes  budget
 	turn    int // of the parts to flush first
-	pageSeq int
 	accepts int
 
 	types     []wire.MachineType
@@ -241,7 +240,7 @@
 	c := &Core{
 		set: set, rng: rng, inc: inc,
 		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
-		machines: map[string]*machine{}, jobs: map[string]*job{}, pages: map[string]*page{},
+		machines: map[string]*machine{}, jobs: map[string]*job{}, tombs: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
 		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, listed: map[string]*listedMachine{},
 		typeOf: map[string]*wire.MachineType{}, hellos: map[string]*heard{}, why: map[string]string{},
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -10,7 +10,7 @@
 
 // tokenOf is what a machine's worker must obey: the later of the part's
 // take-over and the record's floor. Revisions only rise.
-func (c *Core) tokenOf(m *machine) uint64 { return max(c.parts[m.rec.Cur].ver, m.floor) }
+func (c *Core) tokenOf(m *machine) uint64 { return max(c.parts[m.rec.Cur].ver, m.rec.Token) }
 
 // ours gives a machine's part if we hold it.
 func (c *Core) ours(m *machine) *part {
@@ -459,6 +459,9 @@
 		}
 		return
 	}
+	if m.from.part != m.rec.Cur && !m.busy() {
+		c.ask(m, opCopy)
+	}
 	if m.doubt && !m.busy() {
 		m.doubt = false
 		c.ask(m, opToken)
@@ -579,22 +582,9 @@
 	c.ask(m, opMove)
 }
 
-// record has machines recorded that were rented or have strayed in, pages of
-// them as large as a value may be.
-func (c *Core) record(p *part, rec pageRecord, adopt bool, then func()) {
-	most := min(50, int(c.set.Facts.State.ValueKB*1000-300)/70)
-	all := rec.Machines
-	for chunk := range slices.Chunk(all, most) {
-		page := rec
-		page.Machines = slices.Clone(chunk)
-		left := len(chunk) == len(all)
-		all = all[len(chunk):]
-		p.fresh = append(p.fresh, &newPage{rec: page, adopt: adopt, then: func() {
-			if left {
-				then()
-			}
-		}})
-	}
+// record has machines recorded that were rented or have strayed in.
+func (c *Core) record(p *part, rows []machineRow, adopt bool, then func()) {
+	p.fresh = append(p.fresh, &newMachines{rows: rows, adopt: adopt, then: then})
 }
 
 // kindName names a kind in the log.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -20,8 +20,7 @@
 	Live     = "live/"
 	adoptKey = Live + "a"  // changes with every adoption of a stray machine
 	jobKey   = Live + "j/" // one for each unfinished job
-	logKey   = Live + "l/" // PART/SEQ: changes of tasks, in order
-	pageKey  = Live + "m/" // machines of one kind, home and current part
+	logKey   = Live + "l/" // PART/SLOT: a part's log of tasks and machines
 	partKey  = Live + "p/"
 	overKey  = "over/"
 )
@@ -45,26 +44,29 @@
 	Done  int    `json:"n"`
 }
 
-// pageRecord is a page's value: machines that share all but their names.
-type pageRecord struct {
-	Type     string        `json:"t"`
-	Zone     string        `json:"z"`
-	Spot     bool          `json:"s,omitzero"`
-	Home     int           `json:"h"`
-	Cur      int           `json:"c"`
-	Machines []pageMachine `json:"m"`
+// logRecord is one entry of a part's log: tasks and machines as they became
+// by it. A slot is written again once all that it alone held was logged anew.
+type logRecord struct {
+	Seq      uint64       `json:"q"`
+	Runs     []run        `json:"r,omitzero"`
+	Machines []machineRow `json:"m,omitzero"`
 }
 
-type pageMachine struct {
+// machineRow is a machine's record. Each transfer begins a new epoch, and so
+// does its end: of two rows in different logs the one with the later epoch
+// holds, of the same epoch the one in the log of its current part.
+type machineRow struct {
 	Name  string `json:"n"`
-	At    int64  `json:"a"` // rented, by the time of day
-	Gone  bool   `json:"d,omitzero"`
-	Token uint64 `json:"k,omitzero"` // 0: the revision of the write
-}
-
-// logRecord is one entry of a part's log: runs of tasks that changed.
-type logRecord struct {
-	Runs []run `json:"r"`
+	Type  string `json:"t,omitzero"`
+	Zone  string `json:"z,omitzero"`
+	Spot  bool   `json:"s,omitzero"`
+	Home  int    `json:"h,omitzero"`
+	Cur   int    `json:"c,omitzero"`
+	At    int64  `json:"a,omitzero"` // rented, by the time of day
+	Gone  bool   `json:"d,omitzero"` // to be deleted, never used again
+	Dead  bool   `json:"x,omitzero"` // deleted: there is no such machine
+	Epoch uint64 `json:"e"`
+	Token uint64 `json:"k,omitzero"` // the least token; 0: the revision of this write
 }
 
 type run struct {
@@ -133,33 +135,32 @@
 	zones   map[string]int
 }
 
-// page is a key that holds records of machines.
-type page struct {
-	key   string
-	ver   uint64
+// origin says which row of which log told the latest of a machine.
+type origin struct {
+	epoch uint64
 	part  int
-	names []string
+	seq   uint64
 }
 
-type machineRecord struct {
-	Type string
-	Zone string
-	Spot bool
-	Home int
-	Cur  int
-	At   int64
-	Gone bool
+// before tells whether a row tells something newer.
+func (o origin) before(row origin, cur int) bool {
+	switch {
+	case row.epoch != o.epoch:
+		return o.epoch < row.epoch
+	case row.part == o.part:
+		return o.seq <= row.seq
+	}
+	return row.part == cur
 }
 
 type machine struct {
-	name  string
-	rec   machineRecord
-	floor uint64 // the least token, from its record
-	page  *page
-	typ   *wire.MachineType
-	used  sched.Res
-	on    []taskID        // recorded here, in order
-	left  map[string]bool // jobs whose tasks left, perhaps not committed yet
+	name string
+	rec  machineRow // Token: the least token, from its record
+	from origin
+	typ  *wire.MachineType
+	used sched.Res
+	on   []taskID        // recorded here, in order
+	left map[string]bool // jobs whose tasks left, perhaps not committed yet
 
 	op   machineOp // change of its record that waits or is being committed
 	opTo int       // part that it is to go to
@@ -201,6 +202,7 @@
 	opForget           // its record goes
 	opMove             // to another part
 	opToken            // its token rises
+	opCopy             // into our log, from that of the part that it came from
 )
 
 func (m *machine) busy() bool { return m.op != opNone }
@@ -323,8 +325,9 @@
 				return
 			}
 			c.reset()
-			// Parts last: a log is applied as long as its part is not ours.
-			for _, prefix := range []string{adoptKey, jobKey, pageKey, logKey, partKey} {
+			// Parts last: a log is applied as long as its part is not ours. Its
+			// slots come in no order: rows and runs say which is later.
+			for _, prefix := range []string{adoptKey, jobKey, logKey, partKey} {
 				for _, it := range l.items {
 					if strings.HasPrefix(it.Key, prefix) {
 						c.apply(it.Key, it.Value, it.Version)
@@ -354,7 +357,8 @@
 	}
 	clear(c.machines)
 	clear(c.jobs)
-	clear(c.pages)
+	clear(c.tombs)
+	clear(c.rows)
 	c.order = nil
 	for _, u := range c.usage {
 		*u = sched.Res{}
@@ -378,22 +382,21 @@
 			c.apply(e.Put, e.Value, e.Version)
 		}
 	}
-	c.bury()
 	c.rev = max(c.rev, r.Follow.Revision)
 	return true
 }
 
-func entryKey(part int, seq uint64) string { return fmt.Sprintf("%s%d/%016d", logKey, part, seq) }
+func slotKey(part, slot int) string { return fmt.Sprintf("%s%d/%04d", logKey, part, slot) }
 
-// parseEntry reads a log entry's key.
-func (c *Core) parseEntry(key string) (*part, uint64) {
+// parseSlot reads a log slot's key.
+func (c *Core) parseSlot(key string) (*part, int) {
 	a, b, ok := strings.Cut(key[len(logKey):], "/")
 	i, err := strconv.Atoi(a)
-	seq, err2 := strconv.ParseUint(b, 10, 64)
-	if !ok || err != nil || err2 != nil || i < 0 || i >= len(c.parts) {
+	slot, err2 := strconv.Atoi(b)
+	if !ok || err != nil || err2 != nil || i < 0 || i >= len(c.parts) || slot < 0 {
 		return nil, 0
 	}
-	return c.parts[i], seq
+	return c.parts[i], slot
 }
 
 // apply takes in one key's value unless a newer one is known. A value that
@@ -413,17 +416,6 @@
 			bad(err)
 		}
 		c.partChanged(c.parts[i], rec, ver)
-	case strings.HasPrefix(key, pageKey):
-		pg := c.pages[key]
-		if pg != nil && pg.ver >= ver {
-			return
-		}
-		var rec pageRecord
-		if err := json.Unmarshal(value, &rec); err != nil || rec.Cur < 0 || rec.Cur >= len(c.parts) {
-			bad(err)
-			return
-		}
-		c.applyPage(key, rec, ver)
 	case strings.HasPrefix(key, jobKey):
 		id := key[len(jobKey):]
 		j := c.jobs[id]
@@ -445,17 +437,14 @@
 		c.mark(j)
 		c.early(Second / 20)
 	case strings.HasPrefix(key, logKey):
-		p, seq := c.parseEntry(key)
+		p, slot := c.parseSlot(key)
 		if p == nil {
 			return
 		}
 		if p.held && c.synced {
 			// Ours: the answer to its transaction may be late or lost.
-			switch {
-			case p.flush != nil && seq == p.flush.seq:
+			if p.flush != nil && slot == p.flush.entries[0].slot && ver > p.flush.was {
 				c.flushed(p, ver)
-			case len(p.log) == 0:
-				p.logged(seq, ver, nil) // written with the take-over
 			}
 			return
 		}
@@ -464,93 +453,92 @@
 			bad(err)
 			return
 		}
-		p.logged(seq, ver, rec.Runs)
-		for _, r := range rec.Runs {
-			j := c.jobs[r.Job]
-			if j == nil {
-				continue // it is over
-			}
-			for n := r.From; n < r.From+r.count() && n < j.spec.Tasks; n++ {
-				c.assign(j, n, standing{r.State, r.Attempt, r.Machine})
-				t := j.touch(n)
-				t.kept, t.logged = t.standing, seq
-			}
-		}
+		c.applyEntry(p, entry{seq: rec.Seq, slot: slot, ver: ver, runs: rec.Runs, rows: rec.Machines})
 	}
 }
 
-// applyPage takes in a page of machines. One that a page no longer has may
-// have moved to another in the same transaction: bury sees to the rest.
-func (c *Core) applyPage(key string, rec pageRecord, ver uint64) {
-	pg := c.pages[key]
-	if pg == nil {
-		pg = &page{key: key}
-		c.pages[key] = pg
-	}
-	old := pg.names
-	pg.ver, pg.part, pg.names = ver, rec.Cur, nil
-	for _, r := range rec.Machines {
-		pg.names = append(pg.names, r.Name)
-		m := c.machines[r.Name]
-		if m == nil {
-			m = &machine{name: r.Name, left: map[string]bool{}, bornAt: c.now, waitFrom: c.now, moveTo: -1}
-			if r.At > 0 && r.At < c.now {
-				m.bornAt = r.At
-			}
-			m.rec.Zone, m.rec.Cur = rec.Zone, rec.Cur
-			c.machines[r.Name] = m
-			at, _ := slices.BinarySearchFunc(c.order, m.name, func(o *machine, name string) int { return strings.Compare(o.name, name) })
-			c.order = slices.Insert(c.order, at, m)
-			// Another controller may have told its worker 200 until now.
-			m.deadAt = c.now + c.leaseBound()
-			if !c.synced { // a start is committed after its machine's record
-				for _, id := range sorted(c.jobs) {
-					c.countOn(c.jobs[id], m)
-				}
-			}
-		}
-		moved := m.rec.Cur != rec.Cur
-		m.page = pg
-		m.rec = machineRecord{rec.Type, rec.Zone, rec.Spot, rec.Home, rec.Cur, r.At, r.Gone}
-		m.floor = max(m.floor, r.Token)
-		if r.Token == 0 {
-			m.floor = max(m.floor, ver)
+// applyEntry takes in an entry of a log that another controller writes.
+func (c *Core) applyEntry(p *part, e entry) {
+	c.logged(p, e)
+	for _, r := range e.rows {
+		c.applyRow(r, origin{r.Epoch, p.idx, e.seq}, e.ver)
+	}
+	for _, r := range e.runs {
+		j := c.jobs[r.Job]
+		if j == nil {
+			continue // it is over
 		}
-		m.typ = c.typeOf[rec.Type]
-		if moved {
-			m.forgetSeen(c)
+		for n := r.From; n < r.From+r.count() && n < j.spec.Tasks; n++ {
+			t := j.touch(n)
+			if t.logged > e.seq {
+				continue
+			}
+			c.assign(j, n, standing{r.State, r.Attempt, r.Machine})
+			t.kept, t.logged = t.standing, e.seq
 		}
 	}
-	c.unpaged = append(c.unpaged, old...)
-	if len(pg.names) == 0 {
-		delete(c.pages, key)
-	}
-	c.early(Second / 5)
 }
 
-// bury drops the machines that no page holds any more.
-func (c *Core) bury() {
-	if c.unpaged == nil {
+// applyRow takes in a machine's record unless a newer one is known.
+func (c *Core) applyRow(r machineRow, from origin, ver uint64) {
+	m := c.machines[r.Name]
+	known, ok := c.tombs[r.Name]
+	if m != nil {
+		known, ok = m.from, true
+	}
+	if ok && !known.before(from, r.Cur) || r.Cur < 0 || r.Cur >= len(c.parts) {
 		return
 	}
-	lost := false
-	for _, name := range c.unpaged {
-		m := c.machines[name]
-		if m == nil || c.pages[m.page.key] == m.page && slices.Contains(m.page.names, name) {
-			continue
+	if r.Dead {
+		c.tombs[r.Name] = from
+		if m != nil {
+			c.bury(m)
 		}
-		lost = true
-		for _, id := range m.tasks() {
-			c.countMachine(c.jobs[id.job], id.n, m, -1)
+		return
+	}
+	delete(c.tombs, r.Name)
+	moved := false
+	if m == nil {
+		m = &machine{name: r.Name, left: map[string]bool{}, bornAt: c.now, waitFrom: c.now, moveTo: -1}
+		if r.At > 0 && r.At < c.now {
+			m.bornAt = r.At
+		}
+		m.rec = r
+		c.machines[r.Name] = m
+		at, _ := slices.BinarySearchFunc(c.order, m.name, func(o *machine, name string) int { return strings.Compare(o.name, name) })
+		c.order = slices.Insert(c.order, at, m)
+		// Another controller may have told its worker 200 until now.
+		m.deadAt = c.now + c.leaseBound()
+		if !c.synced { // else a start is committed after its machine's record
+			for _, id := range sorted(c.jobs) {
+				c.countOn(c.jobs[id], m)
+			}
 		}
-		delete(c.machines, name)
-		c.order = slices.DeleteFunc(c.order, func(o *machine) bool { return o == m })
-		c.buried(name)
+	} else {
+		moved = m.rec.Cur != r.Cur
+	}
+	floor := max(m.rec.Token, r.Token)
+	if r.Token == 0 {
+		floor = max(floor, ver)
 	}
-	c.unpaged = nil
-	if lost {
-		c.orphans()
+	m.rec, m.from = r, from
+	m.rec.Token = floor
+	m.typ = c.typeOf[r.Type]
+	if moved {
+		m.forgetSeen(c)
 	}
+	c.early(Second / 5)
+}
+
+// bury drops a machine whose record is deleted: all on it is proven gone.
+func (c *Core) bury(m *machine) {
+	for _, id := range m.tasks() {
+		c.countMachine(c.jobs[id.job], id.n, m, -1)
+	}
+	delete(c.machines, m.name)
+	c.order = slices.DeleteFunc(c.order, func(o *machine) bool { return o == m })
+	c.buried(m.name)
+	c.orphans()
 }
 
 // drop takes in that a key was deleted.
@@ -561,12 +549,6 @@
 		if err == nil && i >= 0 && i < len(c.parts) && c.parts[i].ver < ver {
 			c.partChanged(c.parts[i], partRecord{}, 0)
 		}
-	case strings.HasPrefix(key, pageKey):
-		if pg := c.pages[key]; pg != nil && pg.ver < ver {
-			c.unpaged = append(c.unpaged, pg.names...)
-			pg.names = nil
-			delete(c.pages, key)
-		}
 	case strings.HasPrefix(key, jobKey):
 		if j := c.jobs[key[len(jobKey):]]; j != nil && j.ver < ver {
 			for _, n := range j.chunkList() {
@@ -577,10 +559,6 @@
 			delete(c.jobs, j.id)
 			delete(c.parts[j.part].dirty, j.id)
 		}
-	case strings.HasPrefix(key, logKey):
-		if p, seq := c.parseEntry(key); p != nil {
-			p.log = slices.DeleteFunc(p.log, func(e entry) bool { return e.seq == seq && e.ver < ver })
-		}
 	}
 }
 
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -21,7 +21,7 @@
 	log     []entry
 	dirty   map[string]bool // jobs with changes to commit
 	ops     []*machine      // records to change
-	fresh   []*newPage      // machines to record
+	fresh   []*newMachines  // machines to record
 	flush   *flush
 	flushAt int64
 	rents   map[sched.Kind]int // asked for and not recorded yet
@@ -181,12 +181,6 @@
 	rec := partRecord{Node: c.set.Node, Inc: c.inc}
 	t := &txn{req: wire.Txn{If: []wire.Guard{{Key: p.key(), Version: p.ver}},
 		Then: []wire.Write{{Put: p.key(), Value: mustJSON(rec), Lease: c.lease}}}}
-	if len(p.log) == 0 {
-		// The log of a held part always has an entry: see flush.
-		key := entryKey(p.idx, 1)
-		t.req.If = append(t.req.If, wire.Guard{Key: key})
-		t.req.Then = append(t.req.Then, wire.Write{Put: key, Value: mustJSON(logRecord{})})
-	}
 	free := func() { p.taking = false; p.freeAt = max(p.freeAt, c.now-Second) }
 	// Held only once the mirror shows it: then it shows all before it too.
 	t.ok = func(uint64) { c.read(func(bool) { free() }) }
