--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -143,8 +143,10 @@
 	}
 	l.last, l.round = c.now, c.listRound
 	if c.now > l.first+6*Second {
-		c.adopt(r.Machine, r.Type, r.Zone, r.Spot, "reported")
+		// Only what answers is there: the report may be a late copy of one
+		// from a machine long returned. Token 0 has nothing done.
 		l.first = c.now
+		c.emit(Push{Machine: r.Machine, Addr: r.Addr, Body: wire.Push{Session: r.Session, Commands: []wire.Command{}}})
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -38,7 +38,9 @@
 		c.refuse(v.Req, 400, "not the machine that was rented", 0)
 		return
 	}
-	m.addr = r.Addr
+	if m.addr == "" || m.newer(r) {
+		m.addr = r.Addr
+	}
 	p := c.ours(m)
 	if p == nil || !c.answers(p) {
 		to := ""
@@ -75,6 +77,9 @@
 func (c *Core) pushed(v Pushed) {
 	m := c.machines[v.Machine]
 	if m == nil {
+		if r := v.Report; r != nil && r.Machine == v.Machine && (v.Status == 200 || v.Status == 409) {
+			c.adopt(r.Machine, r.Type, r.Zone, r.Spot, "reported")
+		}
 		return
 	}
 	m.pushing = false
@@ -136,17 +141,25 @@
 			c.jobs[id.job].task(id.n).pushed = 0
 		}
 	}
-	m.seq, m.seenAt, m.reported = r.Seq, c.now, r.Tasks
+	m.seq = r.Seq
 	// Its session, or the answer that keeps it, is no later than now. Counting
 	// from our own answers alone took a machine for dead that had booted for
 	// longer than a lease and was heard through a direct command first.
 	m.deadAt = max(m.deadAt, c.now+c.leaseS()+Second/2)
+	if r.Token != c.tokenOf(m) {
+		// Perhaps a copy from before our time that comes late: it shows where
+		// the worker was and nothing else. The answer, or a direct command,
+		// raises its token if it is there. Taken for news, such a copy proved
+		// tasks gone that had been started since.
+		return cmds
+	}
+	m.seenAt, m.reported = c.now, r.Tasks
 	if m.upAt == 0 {
 		m.upAt, m.idleAt = c.now, c.now
 		c.info("machine up", "machine", m.name, "type", m.rec.Type, "zone", m.rec.Zone, "spot", m.rec.Spot, "after_s", (c.now-m.bornAt)/Second)
 		c.early(0)
 	}
-	if r.Token == c.tokenOf(m) && !m.ready {
+	if !m.ready {
 		m.ready = true
 		c.early(0)
 	}
@@ -219,9 +232,29 @@
 			order(wire.Start, id, t.attempt, nil)
 		}
 	}
+	if viaReport {
+		m.heed(c.now, cmds)
+	}
 	return cmds
 }
 
+// heed notes whether a worker does what it was told: one whose reports arrive
+// while answers and commands do not reach it needs to be told the same again.
+func (m *machine) heed(now int64, cmds []wire.Command) {
+	again := slices.ContainsFunc(cmds, func(o wire.Command) bool {
+		return o.Op != wire.Stop && slices.ContainsFunc(m.told, func(t wire.Command) bool {
+			return t.Op == o.Op && t.Task == o.Task && t.Attempt == o.Attempt
+		})
+	})
+	switch {
+	case !again:
+		m.deaf = 0
+	case m.deaf == 0:
+		m.deaf = now
+	}
+	m.told = cmds
+}
+
 func (m *machine) tasks() []taskID {
 	return slices.Clone(m.on)
 }
@@ -389,7 +422,7 @@
 // keepMachines looks after the machines of the parts that we hold.
 func (c *Core) keepMachines() {
 	silent, up := 0, 0
-	silence := secs(c.set.Ops.SilentS)
+	silence := c.silence()
 	for _, m := range c.order {
 		p := c.ours(m)
 		if p == nil {
@@ -420,6 +453,12 @@
 	}
 }
 
+// silence is how long a machine may say nothing: a report may be lost and be
+// sent again elsewhere.
+func (c *Core) silence() int64 {
+	return secs(max(c.set.Ops.SilentS, 2*c.set.Facts.Workers.ReportS+4))
+}
+
 // stepDown gives our parts up when no worker reaches us although another
 // controller is well: the cut may be ours alone.
 func (c *Core) stepDown(alone bool) {
@@ -430,11 +469,7 @@
 	if c.unreached == 0 {
 		c.unreached = c.now
 	}
-	able := false
-	for _, h := range c.hellos {
-		able = able || h.storeOK && c.now < h.at+3*Second
-	}
-	if c.now < c.unreached+2*Second || !able || c.now < c.stepBack {
+	if c.now < c.unreached+2*Second || !c.othersAble() || c.now < c.stepBack {
 		return
 	}
 	c.unreached, c.stepBack = 0, c.now+20*Second
@@ -471,10 +506,12 @@
 		boot = m.typ.BootS
 	}
 	switch {
-	case m.upAt == 0 && c.now > m.bornAt+secs(boot*3+20) && c.now > m.waitFrom+secs(c.set.Ops.SilentS+8):
+	case m.upAt == 0 && c.now > m.bornAt+secs(boot*3+20) && c.now > m.waitFrom+c.silence()+8*Second:
 		c.remove(m, "never came up")
-	case m.upAt > 0 && !cut && c.now > m.seenAt+secs(c.set.Ops.SilentS):
+	case m.upAt > 0 && !cut && c.now > m.seenAt+c.silence():
 		c.remove(m, "silent")
+	case m.deaf > 0 && c.now > m.deaf+c.silence()+secs(c.set.Facts.Workers.ReportS):
+		c.remove(m, "does nothing that it is told")
 	case m.notice > 0 || m.sick:
 		for _, id := range m.tasks() {
 			j := c.jobs[id.job]
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -176,8 +176,9 @@
 	deadAt   int64 // by then its lease has run out unless we answer again
 	pushAt   int64
 	pushing  bool
-	deaf     int64 // since when it shows nothing that it was told; 0: it obeys
-	notice   int64 // taken at about this time; 0: no notice
+	told     []wire.Command // by the last answer to a report
+	deaf     int64          // since when it needs to be told the same again; 0: it obeys
+	notice   int64          // taken at about this time; 0: no notice
 	idleAt   int64
 	images   []image
 	errors   int
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -50,9 +50,24 @@
 // leaseS is the workers' lease by a clock that runs slow.
 func (c *Core) leaseS() int64 { return secs(c.set.Facts.Workers.LeaseS * 1.002) }
 
-// answers tells whether we may answer reports for a part.
+// answers tells whether we may answer reports for a part. Past our lease we do
+// so only while the state service may be away for everyone: where another
+// controller has it, the workers move on to that one at once.
 func (c *Core) answers(p *part) bool {
-	return p.held && c.leasedAt > 0 && c.now < c.leasedAt+c.horizon()
+	if !p.held || c.leasedAt == 0 || c.now >= c.leasedAt+c.horizon() {
+		return false
+	}
+	return c.now < c.leasedAt+c.ttl()+Second || !c.othersAble()
+}
+
+// othersAble tells whether another controller lately said that it is well.
+func (c *Core) othersAble() bool {
+	for _, h := range c.hellos {
+		if h.storeOK && c.now < h.at+3*Second {
+			return true
+		}
+	}
+	return false
 }
 
 func (c *Core) keepLease() {
@@ -125,6 +140,7 @@
 	m.seenAt, m.waitFrom = max(m.seenAt, c.now), c.now
 	m.idleAt = c.now
 	m.delSent, m.delOK = false, false
+	m.told, m.deaf = nil, 0
 	m.op, m.moveTo = opNone, -1
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -46,6 +46,9 @@
 	return Second/10 + int64(machines)*Second/2500 + int64(jobs)*Second/2500
 }
 
+// lately is how long ago a machine may have been heard to be given work.
+func (c *Core) lately() int64 { return max(8*Second, secs(1.6*c.set.Facts.Workers.ReportS)) }
+
 // busyFor is when a task on a machine is expected to end.
 func (c *Core) busyFor(j *job, t *task, m *machine) int64 {
 	est := secs(j.spec.EstimateS)
@@ -149,12 +152,12 @@
 		for _, i := range m.images {
 			sm.Images = append(sm.Images, i.name)
 		}
-		sm.Usable = m.ready && c.now < m.seenAt+8*Second
+		sm.Usable = m.ready && m.deaf == 0 && c.now < m.seenAt+c.lately()
 		switch {
 		case sm.Usable:
 		case m.upAt == 0 && m.bornAt+secs(m.typ.BootS*2) > c.now:
 			sm.ReadyAt = max(c.now+2*Second, m.bornAt+secs(m.typ.BootS))
-		case m.upAt > 0 && c.now < m.seenAt+8*Second:
+		case m.upAt > 0 && m.deaf == 0 && c.now < m.seenAt+c.lately():
 			sm.ReadyAt = c.now + 3*Second
 		default:
 			continue
@@ -317,7 +320,7 @@
 
 func (c *Core) lendable(m *machine) bool {
 	return c.ours(m) != nil && m.ready && c.emptied(m) && len(m.reported) == 0 && !m.busy() && !m.rec.Gone && !m.sick &&
-		m.notice == 0 && !c.claimed(m) && c.now < m.seenAt+8*Second
+		m.notice == 0 && !c.claimed(m) && m.deaf == 0 && c.now < m.seenAt+c.lately()
 }
 
 // idleAbroad tells whether a machine of another part may be borrowed.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -226,13 +226,9 @@
 		c.refuse(v.Req, 503, "the state service has not been read yet", 1)
 		return
 	}
-	if c.storeBad > 0 && c.now > c.storeBad+Second {
-		for _, h := range c.hellos {
-			if h.storeOK && c.now < h.at+3*Second {
-				c.refuse(v.Req, 503, "the state service does not answer here", 1)
-				return
-			}
-		}
+	if c.storeBad > 0 && c.now > c.storeBad+Second && c.othersAble() {
+		c.refuse(v.Req, 503, "the state service does not answer here", 1)
+		return
 	}
 	c.answer(v.Req, 200, struct{}{})
 }
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"spurmoor/internal/core"
 	"spurmoor/internal/wire"
@@ -14,11 +16,12 @@
 	on     map[string][]*wtask // task → where it is
 	broken []string
 	starts int
+	begun  map[string]int64 // job → its first start
 	killed map[string]int64 // job → when its user was told it is cancelled
 }
 
 func newChecker(w *World) *checker {
-	return &checker{w: w, on: map[string][]*wtask{}, killed: map[string]int64{}}
+	return &checker{w: w, on: map[string][]*wtask{}, begun: map[string]int64{}, killed: map[string]int64{}}
 }
 
 func (c *checker) breaks(rule, what string) {
@@ -31,6 +34,9 @@
 // started: a task has its image on a machine.
 func (c *checker) started(wk *worker, t *wtask) {
 	c.starts++
+	if _, ok := c.begun[t.job]; !ok {
+		c.begun[t.job] = c.w.now
+	}
 	for _, o := range c.on[t.id] {
 		if o.w != wk {
 			c.breaks("ran_twice", fmt.Sprintf("%s on %s and %s", t.id, o.w.name, wk.name))
@@ -99,6 +105,7 @@
 		c.breaks("forgotten", u.id+" answered 404")
 	}
 	if s, ok := a.Body.(wire.JobStatus); ok && a.Status == 200 {
+		u.heard = c.w.now
 		c.told(u, s.State)
 	}
 }
@@ -146,6 +153,10 @@
 	if c.starts == 0 {
 		c.breaks("nothing_ran", "no task was started")
 	}
+	c.known()
+	if !c.w.sc.Unserved {
+		c.served()
+	}
 	for _, e := range c.w.sc.Expects {
 		for k := range max(1, e.Count) {
 			id := fmt.Sprintf("wk-%06d", e.ID+k)
@@ -162,3 +173,50 @@
 		}
 	}
 }
+
+// known: once all troubles are over, no accepted job goes unanswered for 75 s.
+func (c *checker) known() {
+	for _, u := range c.w.users {
+		from := max(u.heard, c.w.calm, u.sent+5*second)
+		if u.accepted && u.final == "" && c.w.now > from+75*second {
+			c.breaks("forgotten", fmt.Sprintf("%s: no question answered for %.0f s", u.id, float64(c.w.now-from)/float64(second)))
+		}
+	}
+}
+
+// served: at least half of every class, of every team and of every class's
+// largest jobs is done, or runs if it is a service, and the largest began
+// within four minutes.
+func (c *checker) served() {
+	largest := map[string]int{}
+	for _, u := range c.w.users {
+		class := u.job.spec(0).Class
+		largest[class] = max(largest[class], u.job.Tasks)
+	}
+	all, got := map[string]int{}, map[string]int{}
+	for _, u := range c.w.users {
+		if !u.accepted || u.asked || u.job.Bad {
+			continue
+		}
+		spec := u.job.spec(0)
+		groups := []string{"class " + spec.Class, "team " + spec.Team}
+		began, ok := c.begun[u.id]
+		if u.job.Tasks == largest[spec.Class] {
+			groups = append(groups, "largest of "+spec.Class)
+			if at := u.sent + 240*second; c.w.now > at && (!ok || began > at) {
+				c.breaks("late", u.id+" had not begun after four minutes")
+			}
+		}
+		for _, g := range groups {
+			all[g]++
+			if u.final == wire.Done || spec.Kind == wire.Daemon && ok {
+				got[g]++
+			}
+		}
+	}
+	for _, g := range slices.Sorted(maps.Keys(all)) {
+		if 2*got[g] < all[g] {
+			c.breaks("unserved", fmt.Sprintf("%s: %d of %d", g, got[g], all[g]))
+		}
+	}
+}
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -29,6 +29,8 @@
 	WriteRPS  float64    `toml:"write_rps"` // changes a second
 	Lost      float64    `toml:"lost"`      // share of the state service's answers that never arrive
 	Late      float64    `toml:"late"`      // share of requests to it carried out seconds late
+	Copies    float64    `toml:"copies"`    // share of reports of which a copy comes later, up to two leases
+	Unserved  bool       `toml:"unserved"`  // the day ends before half of everything can be served
 	Teams     []Team     `toml:"team"`
 	Types     []Type     `toml:"type"`
 	Jobs      []Job      `toml:"job"`
@@ -80,6 +82,7 @@
 	Zone        string  `toml:"zone"`
 	CancelAtS   float64 `toml:"cancel_at_s"`
 	Bad         bool    `toml:"bad"` // fails on every machine
+	Class       string  `toml:"class"`
 }
 
 // Fault is a trouble at a set time.
@@ -136,12 +139,15 @@
 
 // spec gives a job as its user would submit it.
 func (j Job) spec(n int) wire.Job {
-	w := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "class", Team: j.Team, Kind: j.Kind, Priority: j.Priority, Tasks: max(1, j.Tasks),
+	w := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: j.Class, Team: j.Team, Kind: j.Kind, Priority: j.Priority, Tasks: max(1, j.Tasks),
 		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: 1, Image: "img-" + j.Kind, ImageGB: j.ImageGB, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
 		Spot: j.Spot, EstimateS: j.EstimateS, CheckpointS: j.CheckpointS}
 	if w.Kind == "" {
 		w.Kind = wire.Array
 	}
+	if w.Class == "" {
+		w.Class = w.Kind
+	}
 	if w.Priority == "" {
 		w.Priority = "standard"
 	}
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -17,6 +17,8 @@
 	told     string
 	asked    bool // to cancel
 	tries    int
+	sent     int64
+	heard    int64 // when a question about it was last answered
 }
 
 func (w *World) addUser(j Job, n int, at int64) {
@@ -26,6 +28,7 @@
 	w.users = append(w.users, u)
 	w.at(at, func() {
 		w.truth[u.id] = j
+		u.sent = w.now
 		u.submit()
 	})
 	if j.CancelAtS > 0 {
@@ -81,6 +84,9 @@
 func (u *user) poll() {
 	final := u.final // an answer to a poll that overlaps the news may be older
 	u.through(func(req uint64) any { return core.Poll{Req: req, ID: u.id} }, func(a *core.Answer) {
+		if u.w.muted == u.id {
+			a = nil
+		}
 		if final == u.final {
 			u.w.check.polled(u, a)
 		}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -22,6 +22,7 @@
 	gone     bool
 	hung     bool
 	sick     bool
+	deaf     bool // its reports arrive, answers and commands do not reach it
 	missed   []func()
 	session  uint64
 	seq      uint64
@@ -122,6 +123,18 @@
 	wk.tasks = nil
 }
 
+// blink ends the worker's process; it is back at once, without its tasks.
+func (wk *worker) blink() {
+	for _, t := range wk.tasks {
+		t.off()
+	}
+	wk.tasks = nil
+	wk.session++
+	wk.leased = wk.w.now
+	wk.asking = 0
+	wk.changed()
+}
+
 func (wk *worker) tick() {
 	if wk.gone {
 		return
@@ -170,7 +183,18 @@
 		}
 	}
 	w.after(4*second, func() { finish(w.now+second, (wk.node+1)%3) })
+	if w.sc.Copies > 0 && w.rng.Float64() < w.sc.Copies {
+		late := *r
+		w.after(second+w.rng.Int64N(int64(2*w.sc.LeaseS*float64(second))), func() {
+			if n := w.nodes[w.rng.IntN(3)]; n.up && !n.cut["workers"] && !n.cut["all"] {
+				w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: &late} }, func(core.Answer) {})
+			}
+		})
+	}
 	answered := func(a core.Answer) {
+		if wk.deaf {
+			return
+		}
 		wk.awake(func() {
 			if wk.asking != ask || wk.session != session {
 				return // given up on, or of an earlier session
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -70,6 +70,8 @@
 	results map[string]bool
 	truth   map[string]Job
 	live    live
+	muted   string // job whose user gets no answers
+	calm    int64  // when the last trouble was over
 	Log     []string
 }
 
@@ -121,6 +123,7 @@
 		}
 	}
 	for _, f := range sc.Faults {
+		w.calm = max(w.calm, start+int64((f.AtS+f.ForS)*float64(second)))
 		w.at(start+int64(f.AtS*float64(second)), func() { w.fault(f) })
 	}
 	w.run(start + int64(sc.DurationS*float64(second)))
@@ -250,6 +253,9 @@
 			if wk == nil || wk.gone || !wk.up {
 				return
 			}
+			if wk.deaf {
+				return
+			}
 			wk.awake(func() {
 				status, rep := wk.commands(v.Body)
 				w.carry(n, "workers", func() {
@@ -326,7 +332,20 @@
 	case "no_capacity":
 		w.cloud.empty = true
 		w.after(lasts, func() { w.cloud.empty = false })
-	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental":
+	case "blink":
+		n.up = false
+		n.epoch++
+		w.after(second/20+w.rng.Int64N(second/4), func() {
+			if err := w.boot(n); err != nil {
+				w.check.breaks("boot", err.Error())
+			}
+		})
+	case "isolated": // from all but its workers
+		cut("store")
+		cut("peers")
+	case "mute": // a deliberate breach: nobody answers one job's user any more
+		w.muted = fmt.Sprintf("wk-%06d", f.Node)
+	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental", "machine_deaf", "machine_blink":
 		w.machineFault(kind, lasts)
 	case "double_start":
 		// Not a trouble of the world but a deliberate breach, to show that
@@ -366,6 +385,11 @@
 	case "machine_hang":
 		busy.hung = true
 		w.after(lasts, func() { busy.resume() })
+	case "machine_deaf":
+		busy.deaf = true
+		w.after(lasts, func() { busy.deaf = false })
+	case "machine_blink":
+		busy.blink()
 	case "machine_sick":
 		busy.sick = true
 		w.after(lasts, func() { busy.sick = false })
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -279,6 +279,11 @@
 		j.score = w.Priority*float64(wire.Tier(j.Spec.Priority)) + w.Wait*wait + w.Deficit*deficit +
 			w.ZoneFit*fit + w.Readiness*readiness + w.Backlog*backlog
 		j.score -= p.Ops.LatePenalty * p.outOfReach(j)
+		if within := p.Ops.BeginWithinS; !j.Begun && float64(p.Now-j.At) > within/2*float64(Second) {
+			// Exception: no job is lost to being late. One that has not begun
+			// when half of that time is over comes before all that have.
+			j.score += 2
+		}
 		if j.Deprior {
 			// Exception: a high-tier job that fails on every machine would
 			// top each cycle and take room first.
