--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -157,6 +157,7 @@
 	reserved map[*Machine]int64
 	resFor   map[*Machine]*Job
 	held     map[Kind]int
+	gangs    int // that reserved
 }
 
 // Make plans one cycle.
@@ -176,6 +177,13 @@
 	}
 	p.rank()
 	var blocked []*Job
+	for _, j := range p.Jobs {
+		// Exception: no job is lost to being late. An array that has not begun
+		// when half of that time is over has its first task placed before all else.
+		if j.Spec.Kind == wire.Array && p.due(j) && min(j.Pending, p.admits(j)) > 0 {
+			p.fill(j, 1)
+		}
+	}
 	for _, j := range p.Jobs {
 		if j.Pending == 0 {
 			continue
@@ -185,7 +193,11 @@
 			continue
 		}
 		j.blocked = left
-		if len(blocked) == 0 && !j.Deprior {
+		// Exception: besides the top blocked job every gang that needs several
+		// machines reserves, up to a bound. Its machines come up or free one by
+		// one, and smaller jobs took each as it came: gangs of eight waited for
+		// minutes.
+		if !j.Deprior && (len(blocked) == 0 || j.Spec.Kind == wire.Gang && j.Pending > 1 && p.gangs < reserveGangs) {
 			p.reserve(j)
 		}
 		blocked = append(blocked, j)
@@ -279,9 +291,7 @@
 		j.score = w.Priority*float64(wire.Tier(j.Spec.Priority)) + w.Wait*wait + w.Deficit*deficit +
 			w.ZoneFit*fit + w.Readiness*readiness + w.Backlog*backlog
 		j.score -= p.Ops.LatePenalty * p.outOfReach(j)
-		if within := p.Ops.BeginWithinS; !j.Begun && float64(p.Now-j.At) > within/2*float64(Second) {
-			// Exception: no job is lost to being late. One that has not begun
-			// when half of that time is over comes before all that have.
+		if j.Spec.Kind != wire.Array && p.due(j) {
 			j.score += 2
 		}
 		if j.Deprior {
@@ -295,6 +305,12 @@
 	})
 }
 
+// due tells whether a job has not begun though half of the time is over within
+// which every job should have.
+func (p *planner) due(j *Job) bool {
+	return !j.Begun && !j.Deprior && float64(p.Now-j.At) > p.Ops.BeginWithinS/2*float64(Second)
+}
+
 // outOfReach is the share of the stated aims of the job's class that it can
 // no longer meet. Exception: in an overload, wait alone would rank first those
 // that are late already, and so make everyone late.
@@ -631,7 +647,13 @@
 
 // reserve holds the machines freeing soonest for the top blocked job.
 func (p *planner) reserve(j *Job) {
-	set, at := p.soonestSet(j, func(m *Machine) bool { return !m.Borrowable && !m.Foreign })
+	set, at := p.soonestSet(j, func(m *Machine) bool {
+		_, taken := p.reserved[m]
+		return !m.Borrowable && !m.Foreign && !taken
+	})
+	if j.Spec.Kind == wire.Gang {
+		p.gangs++
+	}
 	for _, s := range set {
 		p.reserved[s.m] = at
 		p.resFor[s.m] = j
@@ -683,10 +705,11 @@
 // stopped for them, and so many machines are asked for; the next cycle goes on
 // where this one ended.
 const (
-	evictJobs   = 8
-	evictMost   = 32
-	rentMost    = 150
-	blockedMost = 400
+	reserveGangs = 16
+	evictJobs    = 16
+	evictMost    = 32
+	rentMost     = 150
+	blockedMost  = 400
 )
 
 // clearing is what emptying a machine for a job costs.
@@ -710,11 +733,11 @@
 		if j.Deprior || !p.mayStopAny(j) {
 			continue
 		}
-		jobs++
 		_, soon := p.soonestSet(j, func(m *Machine) bool { return !m.Borrowable && (!m.Foreign || m.Claim == j.ID) && !taken[m] })
 		if soon < p.Now+int64((j.Spec.SaveS+10)*float64(Second)) {
 			continue
 		}
+		jobs++
 		set := p.clearings(j, taken)
 		var least int64
 		equal := false
