--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -193,11 +193,11 @@
 			continue
 		}
 		j.blocked = left
-		// Exception: besides the top blocked job every gang that needs several
-		// machines reserves, up to a bound. Its machines come up or free one by
-		// one, and smaller jobs took each as it came: gangs of eight waited for
-		// minutes.
-		if !j.Deprior && (len(blocked) == 0 || j.Spec.Kind == wire.Gang && j.Pending > 1 && p.gangs < reserveGangs) {
+		// Exception: besides the top blocked job every gang reserves, up to a
+		// bound. Room for it comes up or frees piece by piece, and smaller jobs
+		// took each piece as it came: gangs waited for minutes for machines that
+		// the demand had counted as theirs.
+		if !j.Deprior && (len(blocked) == 0 || j.Spec.Kind == wire.Gang && p.gangs < reserveGangs) {
 			p.reserve(j)
 		}
 		blocked = append(blocked, j)
@@ -705,7 +705,7 @@
 // stopped for them, and so many machines are asked for; the next cycle goes on
 // where this one ended.
 const (
-	reserveGangs = 16
+	reserveGangs = 32
 	evictJobs    = 16
 	evictMost    = 32
 	rentMost     = 150
