--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -63,6 +63,10 @@
 	return max(end, c.now+Second+(c.now-t.placedAt)/5)
 }
 
+// isNew tells whether stopping a task would undo its start: users count only
+// starts that last for half a minute.
+func (c *Core) isNew(t *task) bool { return c.now < t.placedAt+30*Second }
+
 func (c *Core) lostBy(j *job, t *task) int64 {
 	if j.spec.CheckpointS > 0 {
 		return secs(j.spec.SaveS) + secs(5)
@@ -192,7 +196,7 @@
 		}
 		u := sched.Use{Job: sj, Index: id.n, Need: j.need, End: c.now + 3*Second}
 		if sj != nil {
-			u.End, u.Lost, u.Leaving = c.busyFor(j, t, m), c.lostBy(j, t), t.leaving > 0
+			u.End, u.Lost, u.Leaving, u.New = c.busyFor(j, t, m), c.lostBy(j, t), t.leaving > 0, c.isNew(t)
 		}
 		sm.Uses = append(sm.Uses, u)
 	}
@@ -365,15 +369,19 @@
 }
 
 // mayEmpty tells whether PROTOCOL's preemption permits stopping all of a
-// machine's tasks for what asks: they are of a lower tier, or their teams keep
-// their guarantees without them and the asker's is within its own.
+// machine's tasks for what asks: they are of a lower tier, or of its own and
+// their teams keep their guarantees without them and the asker's is within its.
 func (c *Core) mayEmpty(m *machine, a peer.Ask) bool {
 	without := map[string]sched.Res{}
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
-		if wire.Tier(j.spec.Priority) < a.Tier {
+		tier := wire.Tier(j.spec.Priority)
+		if tier < a.Tier {
 			continue
 		}
+		if tier > a.Tier || c.isNew(j.task(id.n)) {
+			return false // permitted within a guarantee, but it costs more than it serves
+		}
 		without[j.spec.Team] = without[j.spec.Team].Add(j.need, 1)
 		if team := c.team(j.spec.Team); !a.Guaranteed || !team.Beyond(without[j.spec.Team]) {
 			return false
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -52,6 +52,7 @@
 	End     int64 // expected, by the owner's estimate
 	Lost    int64 // work lost if it is stopped now
 	Leaving bool  // told to stop already
+	New     bool  // started so lately that stopping it undoes the start
 }
 
 // Machine is a machine of the part.
@@ -671,7 +672,7 @@
 	if wire.Tier(u.Job.Spec.Priority) > wire.Tier(j.Spec.Priority) {
 		return false // permitted within a guarantee, but it costs more than it serves
 	}
-	if u.Job.score > j.score {
+	if u.New || u.Job.score > j.score {
 		return false // it would take the room again in the next cycle, and so on
 	}
 	mine, theirs := p.Teams[j.Spec.Team], p.Teams[u.Job.Spec.Team]
@@ -796,8 +797,11 @@
 				}
 			}
 			if m.Foreign {
-				if len(c.uses) < len(uses) {
-					continue // it moves only empty
+				if len(c.uses) < len(uses) || len(uses) == 0 {
+					// It moves only empty; and one that is empty but not offered
+					// is being kept for another job: two parts took it from
+					// each other, stopping what it ran each time.
+					continue
 				}
 				c.lost += 5 * Second
 			}
