--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -230,9 +230,12 @@
 	var queued, running float64
 	zones := map[string]bool{}
 	var part Res
+	// Readiness is the share of machines with the image among those that have
+	// room now, of any if none has.
 	usable, cached := map[Kind]int{}, map[string]map[Kind]int{}
+	room := slices.ContainsFunc(p.Machines, func(m *Machine) bool { return m.Usable && m.Free.GPU > 0 && m.Free.CPU > 0 })
 	for _, m := range p.Machines {
-		if m.Usable {
+		if m.Usable && (!room || m.Free.GPU > 0 && m.Free.CPU > 0) {
 			k := m.kind()
 			usable[k]++
 			for _, i := range m.Images {
