--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -26,13 +26,8 @@
 				return
 			}
 			c.typesAt = c.now + 60*Second
-			c.types = r.Catalog.Types
-			for i := range c.types {
-				c.typeOf[c.types[i].Name] = &c.types[i]
-			}
-			for _, m := range c.machines {
-				m.typ = c.typeOf[m.rec.Type]
-			}
+			c.setTypes(r.Catalog.Types)
+			c.keepTypes()
 		})
 	}
 	holds := false
@@ -78,6 +73,36 @@
 	})
 }
 
+func (c *Core) setTypes(types []wire.MachineType) {
+	c.types = types
+	for i := range types {
+		c.typeOf[types[i].Name] = &types[i]
+	}
+	for _, m := range c.machines {
+		m.typ = c.typeOf[m.rec.Type]
+	}
+}
+
+// shape is a catalogue without its prices.
+func shape(types []wire.MachineType) string {
+	types = slices.Clone(types)
+	for i := range types {
+		types[i].Price, types[i].SpotPrice = 0, 0
+	}
+	return string(mustJSON(types))
+}
+
+// keepTypes keeps the catalogue in the state service: a controller that
+// starts while the cloud is away could else neither accept nor place anything.
+func (c *Core) keepTypes() {
+	if !c.synced || c.typesKept == shape(c.types) {
+		return
+	}
+	c.spend(1)
+	c.callStore(StoreCall{Op: OpTxn, Txn: &wire.Txn{If: []wire.Guard{{Key: typesKey, Version: c.typesVer}},
+		Then: []wire.Write{{Put: typesKey, Value: mustJSON(wire.Catalog{Types: c.types})}}}}, func(*StoreReply) {})
+}
+
 func (c *Core) listMachines(after string) {
 	c.callCloud(CloudCall{Op: OpMachines, After: after}, func(r *CloudReply) {
 		if r.Status != 200 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -201,6 +201,8 @@
 	types     []wire.MachineType
 	typeOf    map[string]*wire.MachineType
 	typesAt   int64
+	typesVer  uint64 // of the catalogue in the state service
+	typesKept string // its shape
 	typesBusy bool
 	rentSeq   int
 	graves    map[string]int64 // machines lately deleted
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -19,6 +19,7 @@
 	// Live is the prefix of what the mirror follows.
 	Live     = "live/"
 	adoptKey = Live + "a"  // changes with every adoption of a stray machine
+	typesKey = Live + "c"  // the cloud's catalogue, prices as of some time
 	jobKey   = Live + "j/" // one for each unfinished job
 	logKey   = Live + "l/" // PART/SLOT: a part's log of tasks and machines
 	partKey  = Live + "p/"
@@ -328,7 +329,7 @@
 			c.reset()
 			// Parts last: a log is applied as long as its part is not ours. Its
 			// slots come in no order: rows and runs say which is later.
-			for _, prefix := range []string{adoptKey, jobKey, logKey, partKey} {
+			for _, prefix := range []string{adoptKey, typesKey, jobKey, logKey, partKey} {
 				for _, it := range l.items {
 					if strings.HasPrefix(it.Key, prefix) {
 						c.apply(it.Key, it.Value, it.Version)
@@ -407,6 +408,16 @@
 	switch {
 	case key == adoptKey:
 		c.adoptVer = max(c.adoptVer, ver)
+	case key == typesKey:
+		var rec wire.Catalog
+		if err := json.Unmarshal(value, &rec); err != nil {
+			bad(err)
+			return
+		}
+		c.typesVer, c.typesKept = ver, shape(rec.Types)
+		if len(c.types) == 0 {
+			c.setTypes(rec.Types)
+		}
 	case strings.HasPrefix(key, partKey):
 		i, err := strconv.Atoi(key[len(partKey):])
 		if err != nil || i < 0 || i >= len(c.parts) || c.parts[i].ver >= ver {
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -153,6 +153,19 @@
 	if c.starts == 0 {
 		c.breaks("nothing_ran", "no task was started")
 	}
+	for _, n := range []struct {
+		what      string
+		had, most int
+	}{
+		{"changes", c.w.store.changes.sum, c.w.sc.MostChanges},
+		{"requests to the store", c.w.store.reqs.sum, c.w.sc.MostRequests},
+		{"calls of the cloud", c.w.cloud.calls, c.w.sc.MostCalls},
+	} {
+		c.w.say("%d %s, %d and %d of the store refused", n.had, n.what, c.w.store.reqs.refused, c.w.store.changes.refused)
+		if n.most > 0 && n.had > n.most {
+			c.breaks("budget", fmt.Sprintf("%d %s, at most %d", n.had, n.what, n.most))
+		}
+	}
 	c.known()
 	if !c.w.sc.Unserved {
 		c.served()
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -18,28 +18,31 @@
 
 // Scenario is a day, written as a small TOML file.
 type Scenario struct {
-	About     string     `toml:"about"`
-	Seed      uint64     `toml:"seed"`
-	DurationS float64    `toml:"duration_s"`
-	LeaseS    float64    `toml:"lease_s"`
-	CancelS   float64    `toml:"cancel_s"`
-	ReportS   float64    `toml:"report_s"`
-	TxnOps    int        `toml:"txn_ops"`
-	RPS       float64    `toml:"rps"`       // requests a second that the state service admits
-	WriteRPS  float64    `toml:"write_rps"` // changes a second
-	Lost      float64    `toml:"lost"`      // share of the state service's answers that never arrive
-	Late      float64    `toml:"late"`      // share of requests to it carried out seconds late
-	Copies    float64    `toml:"copies"`    // share of reports of which a copy comes later, up to two leases
-	Unserved  bool       `toml:"unserved"`  // the day ends before half of everything can be served
-	Teams     []Team     `toml:"team"`
-	Types     []Type     `toml:"type"`
-	Jobs      []Job      `toml:"job"`
-	Faults    []Fault    `toml:"fault"`
-	Random    *Random    `toml:"random"`
-	Expects   []Expected `toml:"expect"`
-	Breaks    string     `toml:"breaks"` // the rule that a deliberate fault must break
-	Said      string     `toml:"said"`   // a line that the log must hold
-	Unsaid    string     `toml:"unsaid"` // a line that it must not hold
+	About        string     `toml:"about"`
+	Seed         uint64     `toml:"seed"`
+	DurationS    float64    `toml:"duration_s"`
+	LeaseS       float64    `toml:"lease_s"`
+	CancelS      float64    `toml:"cancel_s"`
+	ReportS      float64    `toml:"report_s"`
+	TxnOps       int        `toml:"txn_ops"`
+	RPS          float64    `toml:"rps"`          // requests a second that the state service admits
+	WriteRPS     float64    `toml:"write_rps"`    // changes a second
+	Lost         float64    `toml:"lost"`         // share of the state service's answers that never arrive
+	Late         float64    `toml:"late"`         // share of requests to it carried out seconds late
+	Copies       float64    `toml:"copies"`       // share of reports of which a copy comes later, up to two leases
+	Unserved     bool       `toml:"unserved"`     // the day ends before half of everything can be served
+	MostChanges  int        `toml:"most_changes"` // that the state service may be asked for in all; 0: any
+	MostRequests int        `toml:"most_requests"`
+	MostCalls    int        `toml:"most_calls"` // of the cloud
+	Teams        []Team     `toml:"team"`
+	Types        []Type     `toml:"type"`
+	Jobs         []Job      `toml:"job"`
+	Faults       []Fault    `toml:"fault"`
+	Random       *Random    `toml:"random"`
+	Expects      []Expected `toml:"expect"`
+	Breaks       string     `toml:"breaks"` // the rule that a deliberate fault must break
+	Said         string     `toml:"said"`   // a line that the log must hold
+	Unsaid       string     `toml:"unsaid"` // a line that it must not hold
 }
 
 // Team of a scenario.
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -270,6 +270,7 @@
 	next  int
 	down  bool
 	empty bool
+	calls int
 }
 
 func newCloud(w *World) *cloud {
@@ -283,6 +284,7 @@
 
 func (c *cloud) call(v core.CloudCall) *core.CloudReply {
 	r := &core.CloudReply{Call: v.Call, Status: 200}
+	c.calls++
 	if c.down {
 		r.Status = 503
 		return r
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,20 +27,23 @@
 }
 
 // New makes a client. Each controller may use half of the requests and 0.6
-// of the changes: they are rarely busy all at once, and a 429 is retried.
-// bad is told of every answer that can't be read.
+// of the changes: they are rarely busy all at once, and a 429 is retried. The
+// core spends less on what can wait. bad is told of every answer that can't be read.
 func New(set *settings.Settings, bad func(who string, err error)) *Client {
 	s := set.Facts.State
 	return &Client{
 		http: &fasthttp.HostClient{Addr: set.Endpoints.State, MaxConns: 64, ReadTimeout: 70 * time.Second,
 			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 30 * time.Second, MaxIdemponentCallAttempts: 1,
-			MaxResponseBodySize: 8 << 20},
+			MaxResponseBodySize: maxAnswer},
 		reqs:   rate.NewLimiter(rate.Limit(s.RPS/2), max(1, int(s.RPS/2))),
 		bad:    bad,
 		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.6), max(s.TxnOps, int(s.WriteRPS*0.6))),
 	}
 }
 
+// maxAnswer bounds an answer: it is held in memory whole.
+const maxAnswer = 8 << 20
+
 // patience is how long a call may wait for its budget before it counts as
 // refused.
 const patience = 1500 * time.Millisecond
@@ -104,6 +107,12 @@
 		req.SetBody(b)
 	}
 	if err := c.http.DoTimeout(req, resp, wait); err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			c.bad("state service", err)
+			if call.Op == core.OpFollow {
+				r.Status = 410 // asked again it would be larger still: read by pages instead
+			}
+		}
 		return r
 	}
 	if err := decode(call, resp.StatusCode(), resp.Body(), r); err != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,11 +1,34 @@
 package store
 
 import (
+	"net"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"spurmoor/internal/core"
+	"spurmoor/internal/settings"
 )
 
+// TestWatchTooLarge guards against a log of changes too large to be held: it
+// is logged, and everything is read again by pages.
+func TestWatchTooLarge(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, maxAnswer+1)) })
+	set := &settings.Settings{}
+	set.Endpoints.State = ln.Addr().String()
+	set.Facts.State.RPS, set.Facts.State.WriteRPS, set.Facts.State.TxnOps = 100, 100, 10
+	told := 0
+	r := New(set, func(string, error) { told++ }).Do(core.StoreCall{Op: core.OpFollow, Since: 7})
+	if r.Status != 410 || told != 1 {
+		t.Errorf("status %d, logged %d times", r.Status, told)
+	}
+}
+
 // FuzzDecode guards against garbage that passes for an answer: a transaction
 // taken for carried out, or a lease of no number.
 func FuzzDecode(f *testing.F) {
