--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -453,10 +453,10 @@
 	}
 }
 
-// silence is how long a machine may say nothing: a report may be lost and be
-// sent again elsewhere.
+// silence is how long a machine may say nothing: a report may be lost, given
+// up on after 4 s and be sent again elsewhere a second later.
 func (c *Core) silence() int64 {
-	return secs(max(c.set.Ops.SilentS, 2*c.set.Facts.Workers.ReportS+4))
+	return secs(max(c.set.Ops.SilentS, 1.25*c.set.Facts.Workers.ReportS+6))
 }
 
 // stepDown gives our parts up when no worker reaches us although another
