--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,6 +59,7 @@
 		Machine string
 		Token   uint64
 		Starts  bool
+		Unsent  bool // too many were out: nothing left this process
 		Status  int
 		Report  *wire.Report
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -84,12 +84,15 @@
 	}
 	m.pushing = false
 	p := c.ours(m)
-	if p != nil && v.Status == 0 && v.Starts {
+	if v.Unsent {
+		m.pushAt = c.now + Second/5
+	}
+	if p != nil && v.Status == 0 && v.Starts && !v.Unsent {
 		// The start may be carried out minutes late. A higher token, once
 		// the worker has seen it, makes that impossible.
 		m.doubt = true
 	}
-	if p != nil && v.Status == 409 {
+	if p != nil && (v.Status == 409 || v.Unsent) {
 		for _, id := range m.tasks() { // nothing was carried out
 			if t := c.jobs[id.job].task(id.n); t.pushed == v.Token {
 				t.pushed = 0
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -533,11 +533,17 @@
 	if r.Token == 0 {
 		floor = max(floor, ver)
 	}
+	had := m.rec.Token
 	m.rec, m.from = r, from
 	m.rec.Token = floor
 	m.typ = c.typeOf[r.Type]
-	if moved {
+	switch {
+	case moved:
 		m.forgetSeen(c)
+	case floor > had && m.ready:
+		// Told at once: a worker reports a new token late, and until then
+		// nothing that it says counts as a sign of life.
+		m.ready, m.pushAt = false, c.now
 	}
 	c.early(Second / 5)
 }
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -60,10 +60,12 @@
 	return c.now < c.leasedAt+c.ttl()+Second || !c.othersAble()
 }
 
-// othersAble tells whether another controller lately said that it is well.
+// othersAble tells whether another controller lately said that it is well. What
+// it said before it can have noticed an outage that we noticed does not count:
+// all controllers once left the users' balancer at the start of each outage.
 func (c *Core) othersAble() bool {
 	for _, h := range c.hellos {
-		if h.storeOK && c.now < h.at+3*Second {
+		if h.storeOK && c.now < h.at+3*Second && (c.storeBad == 0 || h.at > c.storeBad+3*Second/2) {
 			return true
 		}
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -51,8 +51,12 @@
 	held    []func()
 	reqs    map[uint64]func(core.Answer)
 	nextReq uint64
+	pushing int // direct commands out
 }
 
+// mostPushes is how many direct commands a node has out at a time.
+const mostPushes = 20
+
 // World is a day being played.
 type World struct {
 	sc      *Scenario
@@ -241,10 +245,16 @@
 			w.after(second/20, func() { back(r) })
 		})
 	case core.Push:
+		if n.pushing >= mostPushes {
+			back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts, Unsent: true})
+			return
+		}
+		n.pushing++
 		answered := false
 		w.after(3*second, func() {
 			if !answered {
 				answered = true
+				n.pushing--
 				back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts})
 			}
 		})
@@ -261,6 +271,7 @@
 				w.carry(n, "workers", func() {
 					if !answered {
 						answered = true
+						n.pushing--
 						back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts, Status: status, Report: rep})
 					}
 				})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -69,7 +69,7 @@
 	s := &Server{
 		set: set, log: log, core: core.New(set, inc, rng), start: time.Now(),
 		inputs: make(chan input, 2048), waiting: map[uint64]chan core.Answer{},
-		pushes:  make(chan struct{}, 32),
+		pushes:  make(chan struct{}, max(16, set.Facts.Limits.MaxConnections/16)),
 		telling: make([]atomic.Bool, len(set.Peers)),
 		workers: &fasthttp.Client{MaxConnsPerHost: 2, ReadTimeout: 4 * time.Second, WriteTimeout: 2 * time.Second,
 			MaxIdleConnDuration: 20 * time.Second, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 1 << 20},
@@ -189,6 +189,8 @@
 	case s.pushes <- struct{}{}:
 		defer func() { <-s.pushes }()
 	default:
+		// Taken for one without an answer, it cost its machine a new token.
+		out.Unsent = true
 		return
 	}
 	b, err := json.Marshal(p.Body)
