--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -159,6 +159,8 @@
 	resFor   map[*Machine]*Job
 	held     map[Kind]int
 	gangs    int // that reserved
+	blocked  []*Job
+	cached   bool // only room where the image need not be fetched
 }
 
 // Make plans one cycle.
@@ -177,7 +179,6 @@
 		p.types[v.Types[i].Name] = &v.Types[i]
 	}
 	p.rank()
-	var blocked []*Job
 	for _, j := range p.Jobs {
 		// Exception: no job is lost to being late. An array that has not begun
 		// when half of that time is over has its first task placed before all else.
@@ -185,29 +186,52 @@
 			p.fill(j, 1)
 		}
 	}
+	// Exception: of the arrays only the first in rank takes room where its image
+	// must be fetched first; the others do after all had their turn. Where more
+	// waits than fits, a fifth of the room went on fetching.
+	first := true
+	var rest []*Job
 	for _, j := range p.Jobs {
 		if j.Pending == 0 {
 			continue
 		}
-		left := p.place(j)
-		if left == 0 {
+		if j.Spec.Kind == wire.Array && !first {
+			p.cached = true
+			p.place(j)
+			p.cached = false
+			rest = append(rest, j)
 			continue
 		}
-		j.blocked = left
-		// Exception: besides the top blocked job every gang reserves, up to a
-		// bound. Room for it comes up or frees piece by piece, and smaller jobs
-		// took each piece as it came: gangs waited for minutes for machines that
-		// the demand had counted as theirs.
-		if !j.Deprior && (len(blocked) == 0 || j.Spec.Kind == wire.Gang && p.gangs < reserveGangs) {
-			p.reserve(j)
+		first = first && j.Spec.Kind != wire.Array
+		p.try(j)
+	}
+	for _, j := range rest {
+		if j.Pending > 0 {
+			p.try(j)
 		}
-		blocked = append(blocked, j)
 	}
-	p.evict(blocked)
-	p.demand(blocked)
+	p.evict(p.blocked)
+	p.demand(p.blocked)
 	return &p.plan
 }
 
+// try places a job; what finds no room blocks it.
+func (p *planner) try(j *Job) {
+	left := p.place(j)
+	if left == 0 {
+		return
+	}
+	j.blocked = left
+	// Exception: besides the top blocked job every gang reserves, up to a
+	// bound. Room for it comes up or frees piece by piece, and smaller jobs
+	// took each piece as it came: gangs waited for minutes for machines that
+	// the demand had counted as theirs.
+	if !j.Deprior && (len(p.blocked) == 0 || j.Spec.Kind == wire.Gang && p.gangs < reserveGangs) {
+		p.reserve(j)
+	}
+	p.blocked = append(p.blocked, j)
+}
+
 // Allowed tells whether a job may run on this type, zone and kind at all.
 func Allowed(j *wire.Job, typ, zone string, spot bool) bool {
 	return (j.Types == nil || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
@@ -363,7 +387,7 @@
 // usable tells whether the machine may take a task of the job now.
 func (p *planner) usable(j *Job, m *Machine) bool {
 	if !m.Usable || !m.Free.Fits(j.Need) || m.Borrowable || m.Foreign || j.Avoid[m.Name] ||
-		!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) || (m.Claim != "" && m.Claim != j.ID) {
+		!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) || (m.Claim != "" && m.Claim != j.ID) || p.cached && !m.Has(j.Spec.Image) {
 		return false
 	}
 	if at, ok := p.reserved[m]; ok && p.resFor[m] != j {
