--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -761,7 +761,11 @@
 		if j.Deprior || !p.mayStopAny(j) {
 			continue
 		}
-		_, soon := p.soonestSet(j, func(m *Machine) bool { return !m.Borrowable && (!m.Foreign || m.Claim == j.ID) && !taken[m] })
+		// What others have reserved does not count: several gangs once waited
+		// for the same machine, each sure that it would be free soon.
+		_, soon := p.soonestSet(j, func(m *Machine) bool {
+			return !m.Borrowable && (!m.Foreign || m.Claim == j.ID) && !taken[m] && (p.resFor[m] == nil || p.resFor[m] == j)
+		})
 		if soon < p.Now+int64((j.Spec.SaveS+10)*float64(Second)) {
 			continue
 		}
