--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -463,7 +463,7 @@
 		var rec logRecord
 		if err := json.Unmarshal(value, &rec); err != nil {
 			bad(err)
-			return
+			rec = logRecord{} // its slot is the next to be written
 		}
 		c.applyEntry(p, entry{seq: rec.Seq, slot: slot, ver: ver, runs: rec.Runs, rows: rec.Machines})
 	}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -101,38 +101,32 @@
 func (wk *worker) expire() {
 	if !wk.gone && wk.w.now > wk.leased+int64(wk.w.sc.LeaseS*float64(second)) {
 		wk.w.say("%s lease expired", wk.name)
-		for _, t := range wk.tasks {
-			t.off()
-		}
-		wk.tasks = nil
-		wk.session++
-		wk.leased = wk.w.now
-		wk.asking = 0
-		wk.changed()
+		wk.blink()
 	}
 }
 
-func (wk *worker) die() {
-	if wk.gone {
-		return
-	}
-	wk.gone = true
+// blink begins a new session without the tasks: the lease ran out, or the
+// worker's process ended and was back at once.
+func (wk *worker) blink() {
 	for _, t := range wk.tasks {
 		t.off()
 	}
 	wk.tasks = nil
+	wk.session++
+	wk.leased = wk.w.now
+	wk.asking = 0
+	wk.changed()
 }
 
-// blink ends the worker's process; it is back at once, without its tasks.
-func (wk *worker) blink() {
+func (wk *worker) die() {
+	if wk.gone {
+		return
+	}
+	wk.gone = true
 	for _, t := range wk.tasks {
 		t.off()
 	}
 	wk.tasks = nil
-	wk.session++
-	wk.leased = wk.w.now
-	wk.asking = 0
-	wk.changed()
 }
 
 func (wk *worker) tick() {
