--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -458,6 +458,11 @@
 			if p.flush != nil && slot == p.flush.entries[0].slot && ver > p.flush.was {
 				c.flushed(p, ver)
 			}
+			for i := range p.log {
+				if e := &p.log[i]; e.slot == slot {
+					e.ver = max(e.ver, ver) // someone else's hand: what we know still holds
+				}
+			}
 			return
 		}
 		var rec logRecord
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -354,6 +354,10 @@
 	case "isolated": // from all but its workers
 		cut("store")
 		cut("peers")
+	case "garble": // a log entry's value becomes unreadable
+		if keys := w.store.sorted(fmt.Sprintf("live/l/%d/", max(0, f.Part-1))); len(keys) > 0 {
+			w.store.apply([]wire.Write{{Put: keys[0], Value: []byte(`"?"`)}})
+		}
 	case "mute": // a deliberate breach: nobody answers one job's user any more
 		w.muted = fmt.Sprintf("wk-%06d", f.Node)
 	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental", "machine_deaf", "machine_blink":
