--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -260,7 +260,11 @@
 	}
 	for _, e := range plan.Evictions {
 		m := c.machines[e.Machine.Name]
+		again := m.claim == e.For.ID
 		m.claim, m.claimTo, m.claimG = e.For.ID, c.now+40*Second, e.Guaranteed
+		if again {
+			continue
+		}
 		if e.Machine.Foreign {
 			c.info("machine asked for", "for", e.For.ID, "machine", m.name, "part", m.rec.Cur, "tasks", len(e.Uses))
 			continue
@@ -281,7 +285,9 @@
 	for _, m := range c.order {
 		// Asked again until it comes: a message may be lost.
 		if m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
-			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Guaranteed: m.claimG})
+			j := jobs[m.claim]
+			due := j.nPlaced+j.nDone == 0 && c.now > j.at+secs(c.set.Ops.BeginWithinS/2)
+			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(j.spec.Priority), Guaranteed: m.claimG, Drain: due, Since: j.at})
 		}
 	}
 	if len(c.asks) > 0 {
@@ -351,6 +357,11 @@
 		switch {
 		case c.lendable(m):
 			c.lend(m, a.Part)
+		case a.Drain && m.moveTo < 0 && m.ready && !m.rec.Gone && !m.sick && m.notice == 0 && (!c.claimed(m) || c.jobs[m.claim].at > a.Since):
+			// The older of two jobs that want each other's machines has it.
+			c.info("machine promised", "machine", m.name, "to", a.Part, "tasks", len(m.on))
+			m.claim = ""
+			m.moveTo, m.evict = a.Part, false
 		case m.moveTo >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
 		case a.Reclaim && m.rec.Home == a.Part:
 			c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,7 +8,7 @@
 )
 
 // Version of the form; a message of another version is refused.
-const Version = 1
+const Version = 2
 
 // Idle is a machine its holder would lend.
 type Idle struct {
@@ -24,6 +24,8 @@
 	Reclaim    bool
 	Tier       int
 	Guaranteed bool
+	Drain      bool  // promise it as its tasks end, to a job that is due
+	Since      int64 // when that job was accepted
 }
 
 // Hello is sent to every other controller about once a second. It says
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -761,6 +761,10 @@
 		if j.Deprior || !p.mayStopAny(j) {
 			continue
 		}
+		if j.Spec.Kind == wire.Gang && p.due(j) && p.gather(j, taken) {
+			jobs++
+			continue
+		}
 		// What others have reserved does not count: several gangs once waited
 		// for the same machine, each sure that it would be free soon.
 		_, soon := p.soonestSet(j, func(m *Machine) bool {
@@ -791,6 +795,53 @@
 	}
 }
 
+// gather claims machines for a gang that is due, in whatever part and whatever
+// they run, to have them as they empty. Exception: a part seldom holds eight
+// machines of a zone, nothing may be stopped for work of the same tier, and so
+// the largest gangs waited until the rest was done. It tells whether it did.
+func (p *planner) gather(j *Job, taken map[*Machine]bool) bool {
+	if p.clearings(j, taken) != nil {
+		return false // sooner had by stopping what may be stopped
+	}
+	byZone := map[string][]slot{}
+	for _, m := range p.Machines {
+		if m.Name == "" || taken[m] || m.Claim != "" && m.Claim != j.ID || !m.Total.Fits(j.Need) || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 ||
+			!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+			continue
+		}
+		at := p.Now
+		if m.Claim == "" {
+			if at = m.freeAt(j.Need, p.Now); at == math.MaxInt64 {
+				continue
+			}
+		}
+		z := ""
+		if j.Spec.OneZone {
+			z = m.Zone
+		}
+		byZone[z] = append(byZone[z], slot{m, at})
+	}
+	var best []slot
+	for _, z := range slices.Sorted(maps.Keys(byZone)) {
+		list := byZone[z]
+		slices.SortStableFunc(list, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
+		left := j.Pending
+		for i, s := range list {
+			if left -= s.m.Total.Times(j.Need); left <= 0 {
+				if best == nil || s.at < best[len(best)-1].at {
+					best = list[:i+1]
+				}
+				break
+			}
+		}
+	}
+	for _, s := range best {
+		taken[s.m] = true
+		p.plan.Evictions = append(p.plan.Evictions, Eviction{For: j, Machine: s.m})
+	}
+	return best != nil
+}
+
 // mayStopAny tells whether PROTOCOL might permit stopping anything for j.
 func (p *planner) mayStopAny(j *Job) bool {
 	return wire.Tier(j.Spec.Priority) > 1 || p.guaranteed(j)
