Sockets dealt out by use; direct commands close theirs; queues as long as needed

The core's queue held 2,048 inputs, and a lease's renewal stood in it behind the reports.

Now each use has its share, direct commands close their connection, a worker's is closed once answered while the listener is crowded, answers of the state service and health checks go first, and renewals have connections of their own.

Ruled out: processor (peaks of 0.7 of a core after a take-over, 0.1 mean) and memory (43 of 186 MB).

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -28,7 +28,7 @@
 	share := set.Facts.Cloud.RPS / 2
 	return &Client{
 		bad: bad,
-		http: &fasthttp.HostClient{Addr: set.Endpoints.Cloud, MaxConns: 8, ReadTimeout: 15 * time.Second,
+		http: &fasthttp.HostClient{Addr: set.Endpoints.Cloud, MaxConns: set.Sockets.Cloud, ReadTimeout: 15 * time.Second,
 			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 60 * time.Second, MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize: 4 << 20},
 		reqs: rate.NewLimiter(rate.Limit(share), max(2, int(2*share))),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,7 @@
 	set     *settings.Settings
 	log     *slog.Logger
 	core    *core.Core
+	first   chan input // what others wait for: looked at before inputs
 	inputs  chan input
 	waiting map[uint64]chan core.Answer
 	nextReq atomic.Uint64
@@ -45,6 +46,7 @@
 	workers *fasthttp.Client
 	pushes  chan struct{}
 	garbage atomic.Uint64
+	open    func() int32 // public connections now
 	start   time.Time
 }
 
@@ -68,15 +70,18 @@
 	rng := rand.New(rand.NewPCG(inc, binary.LittleEndian.Uint64(seed[8:])))
 	s := &Server{
 		set: set, log: log, core: core.New(set, inc, rng), start: time.Now(),
-		inputs: make(chan input, 2048), waiting: map[uint64]chan core.Answer{},
-		pushes:  make(chan struct{}, max(16, set.Facts.Limits.MaxConnections/16)),
+		// As many as can ask at a time: a queue of a fixed length turned
+		// workers away that the sockets had room for.
+		inputs: make(chan input, set.Facts.Limits.MaxConnections), first: make(chan input, 256),
+		waiting: map[uint64]chan core.Answer{},
+		pushes:  make(chan struct{}, set.Sockets.Pushes),
 		telling: make([]atomic.Bool, len(set.Peers)),
 		workers: &fasthttp.Client{MaxConnsPerHost: 2, ReadTimeout: 4 * time.Second, WriteTimeout: 2 * time.Second,
-			MaxIdleConnDuration: 20 * time.Second, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 1 << 20},
+			MaxIdleConnDuration: time.Second, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 1 << 20},
 	}
 	s.store, s.cloud = store.New(set, s.unreadable), cloud.New(set, s.unreadable)
 	for _, p := range set.Peers {
-		s.peers = append(s.peers, &fasthttp.HostClient{Addr: p.Addr, MaxConns: 2, ReadTimeout: 3 * time.Second,
+		s.peers = append(s.peers, &fasthttp.HostClient{Addr: p.Addr, MaxConns: set.Sockets.Peers, ReadTimeout: 3 * time.Second,
 			WriteTimeout: 2 * time.Second, MaxIdleConnDuration: 30 * time.Second, MaxIdemponentCallAttempts: 1})
 	}
 	return s, nil
@@ -88,11 +93,15 @@
 // Run serves until ctx ends or a listener fails.
 func (s *Server) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	most := s.set.Facts.Limits.MaxConnections
-	if err := s.listen(ctx, g, s.set.PublicAddr, s.public, most*6/10); err != nil {
+	for _, w := range s.set.Sound() {
+		s.log.Warn("settings", "warning", w)
+	}
+	public, err := s.listen(ctx, g, s.set.PublicAddr, s.public, s.set.Sockets.Public)
+	if err != nil {
 		return err
 	}
-	if err := s.listen(ctx, g, s.set.InternalAddr, s.internal, most/10+8); err != nil {
+	s.open = public.GetOpenConnectionsCount
+	if _, err := s.listen(ctx, g, s.set.InternalAddr, s.internal, s.set.Sockets.Internal); err != nil {
 		return err
 	}
 	g.Go(func() error { return s.loop(ctx) })
@@ -100,13 +109,13 @@
 	return g.Wait()
 }
 
-func (s *Server) listen(ctx context.Context, g *errgroup.Group, addr string, h fasthttp.RequestHandler, most int) error {
+func (s *Server) listen(ctx context.Context, g *errgroup.Group, addr string, h fasthttp.RequestHandler, most int) (*fasthttp.Server, error) {
 	ln, err := net.Listen("tcp4", addr)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
 	}
 	srv := &fasthttp.Server{
-		Handler: h, Concurrency: max(16, most), MaxRequestBodySize: wire.MaxBody, ReadTimeout: 10 * time.Second,
+		Handler: h, Concurrency: most, MaxRequestBodySize: wire.MaxBody, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, NoDefaultServerHeader: true,
 		ReduceMemoryUsage: true, Logger: quiet{}, ErrorHandler: s.badRequest,
 	}
@@ -120,7 +129,7 @@
 		<-ctx.Done()
 		return ln.Close()
 	})
-	return nil
+	return srv, nil
 }
 
 type quiet struct{}
@@ -143,16 +152,26 @@
 	defer tick.Stop()
 	for {
 		var in any = core.Tick{}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		case v := <-s.inputs:
+		take := func(v input) {
 			if v.to != nil {
 				s.waiting[v.req] = v.to
 			}
 			in = v.in
 		}
+		select {
+		case v := <-s.first:
+			take(v)
+		default:
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+			case v := <-s.first:
+				take(v)
+			case v := <-s.inputs:
+				take(v)
+			}
+		}
 		for _, e := range s.core.Step(s.now(), in) {
 			s.effect(e)
 		}
@@ -161,6 +180,10 @@
 
 func (s *Server) feed(in any) { s.inputs <- input{in: in} }
 
+// hasten feeds what others wait for: a lease's renewal once stood behind a
+// thousand reports.
+func (s *Server) hasten(in any) { s.first <- input{in: in} }
+
 func (s *Server) effect(e any) {
 	switch v := e.(type) {
 	case core.Answer:
@@ -169,7 +192,7 @@
 			to <- v
 		}
 	case core.StoreCall:
-		go func() { s.feed(s.store.Do(v)) }()
+		go func() { s.hasten(s.store.Do(v)) }()
 	case core.CloudCall:
 		go func() { s.feed(s.cloud.Do(v)) }()
 	case core.Push:
@@ -204,6 +227,9 @@
 	req.Header.SetMethod("POST")
 	req.Header.SetContentType("application/json")
 	req.SetBody(b)
+	// Kept open they would take the sockets of the workers' reports: one to
+	// each machine within the seconds after a take-over.
+	req.SetConnectionClose()
 	if err := s.workers.DoTimeout(req, resp, 3*time.Second); err != nil {
 		return
 	}
@@ -244,11 +270,11 @@
 }
 
 // ask hands a request to the core and waits for its answer.
-func (s *Server) ask(ctx *fasthttp.RequestCtx, toInput func(req uint64) any) {
+func (s *Server) ask(ctx *fasthttp.RequestCtx, in chan<- input, toInput func(req uint64) any) {
 	req := s.nextReq.Add(1)
 	to := make(chan core.Answer, 1)
 	select {
-	case s.inputs <- input{toInput(req), req, to}:
+	case in <- input{toInput(req), req, to}:
 	default:
 		respond(ctx, core.Answer{Status: 429, Body: wire.Error{Error: "too many requests"}, RetryAfter: 2})
 		return
@@ -275,8 +301,10 @@
 	path := string(ctx.Path())
 	method := "GET"
 	var handle func(req uint64) any
+	in := s.inputs
 	switch {
 	case path == "/ready":
+		in = s.first
 		handle = func(req uint64) any { return core.Ready{Req: req} }
 	case path == "/work":
 		method = "POST"
@@ -292,6 +320,11 @@
 			respond(ctx, core.Answer{Status: 400, Body: wire.Error{Error: err.Error()}})
 			return
 		}
+		if int(s.open()) > s.set.Sockets.Crowded {
+			// A worker asks again within seconds; users must find room, and so
+			// must more workers than there are sockets.
+			ctx.SetConnectionClose()
+		}
 		handle = func(req uint64) any { return core.ReportIn{Req: req, Report: r} }
 	case strings.HasPrefix(path, "/why/"):
 		id := path[len("/why/"):]
@@ -316,7 +349,7 @@
 		ctx.Response.Header.Set("Allow", method)
 		respond(ctx, core.Answer{Status: 405, Body: wire.Error{Error: "wrong method"}})
 	default:
-		s.ask(ctx, handle)
+		s.ask(ctx, in, handle)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,8 @@
 	TeamPart map[string]int
 	// Nodes lists every controller by name, in order.
 	Nodes []string
+	// Sockets is what each use may open.
+	Sockets Sockets
 }
 
 // Defaults returns the operators' settings where nothing is said.
@@ -221,6 +223,7 @@
 		s.Ops.Parts = max(2, len(s.Nodes))
 	}
 	s.deal()
+	s.Sockets = s.sockets()
 	return s, nil
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,7 @@
 // Client talks to the state service.
 type Client struct {
 	http   *fasthttp.HostClient
+	urgent *fasthttp.HostClient // of its own: a renewal never waits for a connection
 	reqs   *rate.Limiter
 	writes *rate.Limiter
 	bad    func(who string, err error)
@@ -31,10 +32,13 @@
 // core spends less on what can wait. bad is told of every answer that can't be read.
 func New(set *settings.Settings, bad func(who string, err error)) *Client {
 	s := set.Facts.State
+	client := func(conns int) *fasthttp.HostClient {
+		return &fasthttp.HostClient{Addr: set.Endpoints.State, MaxConns: conns, MaxConnWaitTimeout: patience,
+			ReadTimeout: 70 * time.Second, WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 30 * time.Second,
+			MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswer}
+	}
 	return &Client{
-		http: &fasthttp.HostClient{Addr: set.Endpoints.State, MaxConns: 64, ReadTimeout: 70 * time.Second,
-			WriteTimeout: 3 * time.Second, MaxIdleConnDuration: 30 * time.Second, MaxIdemponentCallAttempts: 1,
-			MaxResponseBodySize: maxAnswer},
+		http: client(set.Sockets.Store), urgent: client(set.Sockets.Lease),
 		reqs:   rate.NewLimiter(rate.Limit(s.RPS/2), max(1, int(s.RPS/2))),
 		bad:    bad,
 		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.6), max(s.TxnOps, int(s.WriteRPS*0.6))),
@@ -106,7 +110,11 @@
 		req.Header.SetContentType("application/json")
 		req.SetBody(b)
 	}
-	if err := c.http.DoTimeout(req, resp, wait); err != nil {
+	client := c.http
+	if call.Urgent {
+		client = c.urgent
+	}
+	if err := client.DoTimeout(req, resp, wait); err != nil {
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 			c.bad("state service", err)
 			if call.Op == core.OpFollow {
