Workers are neither sent in circles nor deleted while others are asked first

It goes by the last word of any worker now, sooner the more machines it has. - It was handed its parts back after a set 20 s, the cut still on, and stepped down again 12 s later. It asks a few workers first now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -227,6 +227,10 @@
 	asks      []peer.Ask
 	stepBack  int64 // takes no part before this
 	unreached int64
+	heardAt   int64 // any worker, of whatever part
+	cutOff    bool  // no worker reached us; none has answered since
+	probeAt   int64
+	probed    int
 	tickAt    int64
 }
 
@@ -302,6 +306,7 @@
 	c.tickAt = c.now + Second/10
 	c.keepParts()
 	c.keepMachines()
+	c.probe()
 	c.keepCloud()
 	c.cycle()
 	c.flushes()
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -24,6 +24,7 @@
 // horizon, answers 200: that keeps the worker's tasks alive.
 func (c *Core) report(v ReportIn) {
 	r := v.Report
+	c.heardAt = c.now
 	if !c.synced {
 		c.refuse(v.Req, 503, "the state service has not been read yet", 1)
 		return
@@ -43,8 +44,11 @@
 	}
 	p := c.ours(m)
 	if p == nil || !c.answers(p) {
+		// Named only by one that has the state service: two controllers that
+		// had lost it sent workers to each other, by what each knew last, until
+		// the leases of seven hundred machines had run out.
 		to := ""
-		if m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && p == nil && c.parts[m.rec.Cur].ver > 0 {
+		if m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && p == nil && c.parts[m.rec.Cur].ver > 0 && c.now < c.leasedAt+c.ttl() {
 			to = c.parts[m.rec.Cur].rec.Node
 		}
 		if to == c.set.Node {
@@ -75,6 +79,9 @@
 
 // pushed takes in the answer to commands sent directly.
 func (c *Core) pushed(v Pushed) {
+	if v.Status != 0 {
+		c.heardAt, c.cutOff = c.now, false
+	}
 	m := c.machines[v.Machine]
 	if m == nil {
 		if r := v.Report; r != nil && r.Machine == v.Machine && (v.Status == 200 || v.Status == 409) {
@@ -442,13 +449,17 @@
 			if m.addr == "" || m.busy() {
 				continue
 			}
-			if cmds := c.direct(m); !m.ready || cmds != nil {
+			// One that is late is asked before it is taken for dead: where two
+			// controllers were cut off its report went to both of them first,
+			// five seconds each, and two hundred machines at work were deleted.
+			late := m.upAt > 0 && c.now > m.seenAt+c.reportDue()
+			if cmds := c.direct(m); !m.ready || late || cmds != nil {
 				c.push(m, cmds)
 			}
 		}
 	}
 	cut := up >= 2 && silent*2 > up
-	c.stepDown(up >= 2 && silent == up)
+	c.stepDown(up)
 	for _, m := range c.order {
 		if c.ours(m) != nil {
 			c.keepMachine(m, cut)
@@ -462,10 +473,26 @@
 	return secs(max(c.set.Ops.SilentS, 1.25*c.set.Facts.Workers.ReportS+6))
 }
 
-// stepDown gives our parts up when no worker reaches us although another
-// controller is well: the cut may be ours alone.
-func (c *Core) stepDown(alone bool) {
-	if !alone {
+// reportDue is the longest time between two reports of a worker that is well.
+func (c *Core) reportDue() int64 { return secs(1.25*c.set.Facts.Workers.ReportS) + Second }
+
+// stepDown gives our parts up when no worker reaches us, whatever its machine's
+// part, although another controller is well: the cut may be ours alone. The
+// more machines we have the sooner it is certain. Judged by each machine's own
+// silence, a controller that was cut off went on borrowing machines, each of
+// which counted as heard, until the tasks on all of its own had run out of lease.
+func (c *Core) stepDown(up int) {
+	quiet := c.now
+	for _, p := range c.parts {
+		if p.held {
+			quiet = min(quiet, c.now-max(c.heardAt, p.tookAt))
+		}
+	}
+	enough := c.silence() * 2 / 3
+	if up >= 2 {
+		enough = min(enough, max(5*Second, 20*secs(c.set.Facts.Workers.ReportS)/int64(up)))
+	}
+	if up < 2 || quiet < enough {
 		c.unreached = 0
 		return
 	}
@@ -475,7 +502,7 @@
 	if c.now < c.unreached+2*Second || !c.othersAble() || c.now < c.stepBack {
 		return
 	}
-	c.unreached, c.stepBack = 0, c.now+20*Second
+	c.unreached, c.stepBack, c.cutOff = 0, c.now+20*Second, true
 	for _, p := range c.parts {
 		if p.held {
 			c.release(p, "no worker reaches this controller")
@@ -483,6 +510,32 @@
 	}
 }
 
+// probe asks a few workers, after no worker reached us, whether one does again:
+// none comes by itself to a controller that holds no part. Handed back after a
+// set time, the parts went without answers for as long again.
+func (c *Core) probe() {
+	if !c.cutOff || c.now < c.probeAt {
+		return
+	}
+	c.probeAt = c.now + 2*Second
+	sent := 0
+	for i := range c.order {
+		m := c.order[(c.probed+i)%len(c.order)]
+		if m.addr == "" || m.rec.Gone {
+			continue
+		}
+		// Token 0 has nothing done.
+		c.emit(Push{Machine: m.name, Addr: m.addr, Body: wire.Push{Session: max(1, m.session), Commands: []wire.Command{}}})
+		if sent++; sent == 3 {
+			c.probed += i + 1
+			break
+		}
+	}
+	if sent == 0 {
+		c.cutOff = false
+	}
+}
+
 func (c *Core) keepMachine(m *machine, cut bool) {
 	if c.now > m.deadAt && len(m.on) > 0 {
 		c.info("machine's lease ran out", "machine", m.name, "tasks", len(m.on))
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -185,7 +185,7 @@
 		switch {
 		case p.held:
 			c.handBack(p)
-		case p.taking || c.lease == 0 || c.now >= c.leasedAt+c.ttl()/2 || c.now < c.stepBack:
+		case p.taking || c.lease == 0 || c.now >= c.leasedAt+c.ttl()/2 || c.now < c.stepBack || c.cutOff && c.othersAble():
 		case p.ver > 0 && p.rec.Node == c.set.Node:
 			c.take(p) // of an earlier process of ours
 		case p.ver == 0 && c.now >= p.freeAt+int64(c.rank(p, c.set.Node))*3*Second/2:
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -417,7 +417,7 @@
 		return
 	}
 	c.helloAt = c.now + Second
-	able := c.synced && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
+	able := c.synced && !c.cutOff && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
 	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks}})
 }
 
