--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -127,13 +127,14 @@
 	nChanged  int  // tasks to commit
 	over      bool // its final state is committed, the mirror not there yet
 
-	placing bool            // a gang whose start is being committed
-	avoid   map[string]bool // machines that it failed on
-	suspect bool            // fails wherever it runs
-	spoiled bool            // a task of this attempt of the gang has exited
-	holdOff int64
-	backOff int64
-	zones   map[string]int
+	placing  bool            // a gang whose start is being committed
+	avoid    map[string]bool // machines that it failed on
+	suspect  bool            // fails wherever it runs
+	failedAt int64
+	spoiled  bool // a task of this attempt of the gang has exited
+	holdOff  int64
+	backOff  int64
+	zones    map[string]int
 }
 
 // origin says which row of which log told the latest of a machine.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -100,7 +100,7 @@
 		if j.part != p.idx || j.over || j.cancelled {
 			continue
 		}
-		sj := &sched.Job{ID: id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: j.suspect, Begun: j.nPlaced+j.nDone > 0}
+		sj := &sched.Job{ID: id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: c.outOfTurn(j), Begun: j.nPlaced+j.nDone > 0}
 		for z, n := range j.zones {
 			sj.InZone[z] = n
 		}
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -96,6 +96,9 @@
 	Node int     `toml:"node"`
 	Hold bool    `toml:"hold"` // packets are delivered after the cut
 	Part int     `toml:"part"` // instead of Node: the part's holder, counted from 1
+	// Count is how many machines it befalls, those with most tasks first.
+	Count int    `toml:"count"`
+	Zone  string `toml:"zone"` // where those machines are, or which zone is cut off
 }
 
 // Random draws faults from the seed.
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -361,7 +361,9 @@
 	case "mute": // a deliberate breach: nobody answers one job's user any more
 		w.muted = fmt.Sprintf("wk-%06d", f.Node)
 	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental", "machine_deaf", "machine_blink":
-		w.machineFault(kind, lasts)
+		for range max(1, f.Count) {
+			w.machineFault(kind, f.Zone, lasts)
+		}
 	case "double_start":
 		// Not a trouble of the world but a deliberate breach, to show that
 		// the checker sees one.
@@ -379,14 +381,14 @@
 	}
 }
 
-func (w *World) machineFault(kind string, lasts int64) {
+func (w *World) machineFault(kind, zone string, lasts int64) {
 	if kind == "late_rental" {
 		w.cloud.rent(&wire.Rent{Request: "late", Type: w.sc.Types[0].Name, Zone: zones[0], Count: 1})
 		return
 	}
 	var busy *worker
 	for _, wk := range w.workers {
-		if wk.up && !wk.gone && !wk.hung && (kind != "spot_notice" || wk.spot) && (busy == nil || len(wk.tasks) > len(busy.tasks)) {
+		if wk.up && !wk.gone && !wk.hung && !wk.deaf && !wk.sick && (kind != "spot_notice" || wk.spot) && (zone == "" || wk.zone == zone) && (busy == nil || len(wk.tasks) > len(busy.tasks)) {
 			busy = wk
 		}
 	}
