Gangs that are due are promised machines by one reckoning that all share

Every controller now works out the same promises for all parts from the mirror, oldest gang first, and lends what it promised once empty; short tasks may backfill until then.

Not within four minutes for all yet.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -221,6 +221,7 @@
 	summaryAt int64
 	why       map[string]string
 	ends      map[string]int64
+	promised  map[string]sched.Promised // machines kept for gangs that are due
 
 	hellos    map[string]*heard
 	helloAt   int64
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -599,6 +599,8 @@
 		if len(m.on) == 0 && len(m.reported) == 0 {
 			c.remove(m, "drained")
 		}
+	case c.promisedTo(m) >= 0 && m.moveTo < 0:
+		c.keepPromise(m)
 	case m.moveTo >= 0:
 		for _, id := range m.tasks() {
 			j := c.jobs[id.job]
@@ -620,6 +622,30 @@
 	}
 }
 
+// keepPromise empties a machine that is kept for a gang that is due, where what
+// runs is of a lower tier and the gang's other machines are about ready, and
+// lends it to the gang's part.
+func (c *Core) keepPromise(m *machine) {
+	pr := c.promised[m.name]
+	to := c.promisedTo(m)
+	if len(m.on) == 0 {
+		// Not at once again where two controllers see it differently.
+		if to != m.rec.Cur && m.ready && c.now > m.waitFrom+4*Second {
+			c.lend(m, to)
+		}
+		return
+	}
+	if c.now+2*sched.Clearing < pr.At {
+		return
+	}
+	for _, id := range m.tasks() {
+		j := c.jobs[id.job]
+		if wire.Tier(j.spec.Priority) < wire.Tier(pr.Job.Spec.Priority) {
+			c.leave(j, j.task(id.n), "the machine is kept for "+pr.Job.ID)
+		}
+	}
+}
+
 // clear takes in that all on a machine is gone.
 func (c *Core) clear(m *machine, why string) {
 	for _, id := range m.tasks() {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -33,6 +33,7 @@
 	if len(c.types) == 0 {
 		return
 	}
+	c.promise()
 	for _, p := range c.parts {
 		if p.held {
 			c.plan(p)
@@ -40,6 +41,63 @@
 	}
 }
 
+// promise works out, for all parts, which machines are kept for gangs of which
+// nothing runs though half of begin_within_s is over.
+func (c *Core) promise() {
+	c.promised = map[string]sched.Promised{}
+	var due []*sched.Job
+	for _, id := range sorted(c.jobs) {
+		j := c.jobs[id]
+		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.nPlaced+j.nDone > 0 || c.now < j.at+secs(c.set.Ops.BeginWithinS/2) ||
+			c.outOfTurn(j) || c.now < j.holdOff {
+			continue
+		}
+		sj := c.shown(j)
+		sj.Pending = j.spec.Tasks
+		due = append(due, sj)
+	}
+	if due == nil {
+		return
+	}
+	var list []*sched.Machine
+	for _, m := range c.order {
+		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 || m.deaf > 0 || m.upAt == 0 && c.ours(m) != nil && m.bornAt+secs(m.typ.BootS*2) < c.now {
+			continue
+		}
+		sm := c.shownMachine(m)
+		sm.Usable = m.upAt > 0 || c.ours(m) == nil
+		sm.ReadyAt = max(c.now, m.bornAt+secs(m.typ.BootS))
+		c.uses(sm, m, nil)
+		list = append(list, sm)
+	}
+	c.promised = sched.Promise(c.now, list, due)
+}
+
+// promisedTo is the part whose gang a machine is kept for; -1: none.
+func (c *Core) promisedTo(m *machine) int {
+	if pr, ok := c.promised[m.name]; ok {
+		if j := c.jobs[pr.Job.ID]; j != nil && j.nPlaced+j.nDone == 0 && !j.cancelled && !j.over {
+			return j.part
+		}
+	}
+	return -1
+}
+
+// shown shows a job to the planner.
+func (c *Core) shown(j *job) *sched.Job {
+	sj := &sched.Job{ID: j.id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: c.outOfTurn(j), Begun: j.nPlaced+j.nDone > 0}
+	for z, n := range j.zones {
+		sj.InZone[z] = n
+	}
+	return sj
+}
+
+// shownMachine shows a machine to the planner, without what runs on it.
+func (c *Core) shownMachine(m *machine) *sched.Machine {
+	total := sched.ResOf(m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB)
+	return &sched.Machine{Name: m.name, Type: m.typ, Zone: m.rec.Zone, Spot: m.rec.Spot, Total: total, Free: total.Add(m.used, -1), Claim: m.claim}
+}
+
 // planGap is the least time between cycles: it grows with what a plan looks
 // at, so that planning takes a bounded share of the processor.
 func planGap(machines, jobs int) int64 {
@@ -100,10 +158,7 @@
 		if j.part != p.idx || j.over || j.cancelled {
 			continue
 		}
-		sj := &sched.Job{ID: id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: c.outOfTurn(j), Begun: j.nPlaced+j.nDone > 0}
-		for z, n := range j.zones {
-			sj.InZone[z] = n
-		}
+		sj := c.shown(j)
 		if c.now >= j.holdOff && !(j.spec.Kind == wire.Gang && j.nPlaced > 0 && !j.gathering()) {
 			sj.Pending = len(j.waiting(c.now, 500))
 		}
@@ -121,8 +176,22 @@
 		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 {
 			continue
 		}
-		total := sched.ResOf(m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB)
-		sm := &sched.Machine{Name: name, Type: m.typ, Zone: m.rec.Zone, Spot: m.rec.Spot, Total: total, Free: total.Add(m.used, -1), Claim: m.claim}
+		sm := c.shownMachine(m)
+		if to := c.promisedTo(m); to >= 0 {
+			pr := c.promised[name]
+			if sj := shown[pr.Job.ID]; sj != nil {
+				pr.Job = sj // the view's own
+			}
+			sm.Claim, sm.Promised = "", &pr
+			if m.rec.Cur != p.idx {
+				if to == p.idx {
+					// It is being emptied for us.
+					sm.Foreign, sm.Free, sm.ReadyAt = true, sm.Total, max(c.now, pr.At)
+					v.Machines = append(v.Machines, sm)
+				}
+				continue
+			}
+		}
 		if m.claim != "" && c.now > m.claimTo {
 			m.claim, sm.Claim = "", ""
 		}
@@ -141,7 +210,7 @@
 			case len(m.on) > 0:
 				sm.Foreign, sm.ReadyAt = true, c.now+5*Second
 				if m.claim != "" {
-					sm.Free = total // it is being emptied for us
+					sm.Free = sm.Total // it is being emptied for us
 				}
 				c.uses(sm, m, shown)
 			default:
@@ -285,9 +354,7 @@
 	for _, m := range c.order {
 		// Asked again until it comes: a message may be lost.
 		if m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
-			j := jobs[m.claim]
-			due := j.nPlaced+j.nDone == 0 && c.now > j.at+secs(c.set.Ops.BeginWithinS/2)
-			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(j.spec.Priority), Guaranteed: m.claimG, Drain: due, Since: j.at})
+			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Guaranteed: m.claimG})
 		}
 	}
 	if len(c.asks) > 0 {
@@ -329,7 +396,7 @@
 }
 
 func (c *Core) lendable(m *machine) bool {
-	return c.ours(m) != nil && m.ready && c.emptied(m) && len(m.reported) == 0 && !m.busy() && !m.rec.Gone && !m.sick &&
+	return c.ours(m) != nil && m.ready && c.promisedTo(m) < 0 && c.emptied(m) && len(m.reported) == 0 && !m.busy() && !m.rec.Gone && !m.sick &&
 		m.notice == 0 && !c.claimed(m) && m.deaf == 0 && c.now < m.seenAt+c.lately()
 }
 
@@ -357,12 +424,7 @@
 		switch {
 		case c.lendable(m):
 			c.lend(m, a.Part)
-		case a.Drain && m.moveTo < 0 && m.ready && !m.rec.Gone && !m.sick && m.notice == 0 && (!c.claimed(m) || c.jobs[m.claim].at > a.Since):
-			// The older of two jobs that want each other's machines has it.
-			c.info("machine promised", "machine", m.name, "to", a.Part, "tasks", len(m.on))
-			m.claim = ""
-			m.moveTo, m.evict = a.Part, false
-		case m.moveTo >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
+		case m.moveTo >= 0 || c.promisedTo(m) >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
 		case a.Reclaim && m.rec.Home == a.Part:
 			c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
 			m.moveTo, m.evict = a.Part, false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,7 +8,7 @@
 )
 
 // Version of the form; a message of another version is refused.
-const Version = 2
+const Version = 3
 
 // Idle is a machine its holder would lend.
 type Idle struct {
@@ -24,8 +24,6 @@
 	Reclaim    bool
 	Tier       int
 	Guaranteed bool
-	Drain      bool  // promise it as its tasks end, to a job that is due
-	Since      int64 // when that job was accepted
 }
 
 // Hello is sent to every other controller about once a second. It says
--- /dev/null
+++ b/internal/sched/promise.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"spurmoor/internal/wire"
+)
+
+// Promised says for which job a machine is kept until it is empty, and when
+// the last of that job's machines should be.
+type Promised struct {
+	Job *Job
+	At  int64
+}
+
+// Promise deals machines of all parts out to the gangs that are due, oldest
+// first: to each those of one zone, where it must be in one, that empty
+// soonest. Exception: a part seldom holds eight machines of a zone, nothing may
+// be stopped for work of the same tier, and so the largest gangs waited until
+// the rest was done. Every controller works it out for itself from the mirror
+// and keeps to it with its own machines; none has to ask. When they asked for
+// machines one by one, several gangs of eight each held some, waited for the
+// rest, and none began.
+func Promise(now int64, machines []*Machine, due []*Job) map[string]Promised {
+	due = slices.Clone(due)
+	slices.SortFunc(due, func(a, b *Job) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID)) })
+	promised := map[string]Promised{}
+	for _, j := range due {
+		byZone := map[string][]slot{}
+		for _, m := range machines {
+			if _, taken := promised[m.Name]; taken || !m.Total.Fits(j.Need) || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 ||
+				!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+				continue
+			}
+			at := m.emptyAt(j, now)
+			if at == math.MaxInt64 {
+				continue
+			}
+			z := ""
+			if j.Spec.OneZone {
+				z = m.Zone
+			}
+			byZone[z] = append(byZone[z], slot{m, at})
+		}
+		var best []slot
+		for _, z := range slices.Sorted(maps.Keys(byZone)) {
+			list := byZone[z]
+			slices.SortStableFunc(list, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
+			left := j.Pending
+			for i, s := range list {
+				if left -= s.m.Total.Times(j.Need); left <= 0 {
+					if best == nil || s.at < best[len(best)-1].at {
+						best = list[:i+1]
+					}
+					break
+				}
+			}
+		}
+		for _, s := range best {
+			promised[s.m.Name] = Promised{j, best[len(best)-1].at}
+		}
+	}
+	return promised
+}
+
+// emptyAt is when nothing that a job must wait for should run on the machine
+// any more: what is of a lower tier can be stopped for it.
+func (m *Machine) emptyAt(j *Job, now int64) int64 {
+	at := now
+	if !m.Usable {
+		at = max(now, m.ReadyAt)
+	}
+	for _, u := range m.Uses {
+		switch {
+		case u.Job != nil && wire.Tier(u.Job.Spec.Priority) < wire.Tier(j.Spec.Priority):
+			at = max(at, min(u.End, now+Clearing))
+		case u.Job != nil && u.Job.Spec.Kind == wire.Daemon:
+			return math.MaxInt64
+		default:
+			at = max(at, u.End)
+		}
+	}
+	return at
+}
+
+// Clearing is about how long it takes to stop what runs on a machine.
+const Clearing = 12 * Second
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -70,7 +70,8 @@
 	Lent       bool  // ours by home, at work for another part
 	Fair       bool  // of a Lent one: its borrower uses far more than we do
 	Claim      string
-	Images     []string // in its cache, or being fetched
+	Promised   *Promised // to a gang that is due, of whatever part
+	Images     []string  // in its cache, or being fetched
 	Uses       []Use
 	byEnd      bool // Uses are in the order of their ends, and the plan's own
 	freeing    int64
@@ -169,6 +170,9 @@
 	p.plan.Why, p.plan.Ends = map[string]string{}, map[string]int64{}
 	for _, m := range v.Machines {
 		p.held[m.kind()]++
+		if m.Promised != nil {
+			p.reserved[m], p.resFor[m] = m.Promised.At, m.Promised.Job
+		}
 		for _, u := range m.Uses {
 			if u.Job != nil {
 				p.ends(u.Job, u.End)
@@ -677,7 +681,7 @@
 func (p *planner) reserve(j *Job) {
 	set, at := p.soonestSet(j, func(m *Machine) bool {
 		_, taken := p.reserved[m]
-		return !m.Borrowable && !m.Foreign && !taken
+		return !m.Borrowable && !m.Foreign && (!taken || m.Promised != nil && m.Promised.Job == j)
 	})
 	if j.Spec.Kind == wire.Gang {
 		p.gangs++
@@ -761,8 +765,7 @@
 		if j.Deprior || !p.mayStopAny(j) {
 			continue
 		}
-		if j.Spec.Kind == wire.Gang && p.due(j) && p.gather(j, taken) {
-			jobs++
+		if slices.ContainsFunc(p.Machines, func(m *Machine) bool { return m.Promised != nil && m.Promised.Job == j }) {
 			continue
 		}
 		// What others have reserved does not count: several gangs once waited
@@ -795,53 +798,6 @@
 	}
 }
 
-// gather claims machines for a gang that is due, in whatever part and whatever
-// they run, to have them as they empty. Exception: a part seldom holds eight
-// machines of a zone, nothing may be stopped for work of the same tier, and so
-// the largest gangs waited until the rest was done. It tells whether it did.
-func (p *planner) gather(j *Job, taken map[*Machine]bool) bool {
-	if p.clearings(j, taken) != nil {
-		return false // sooner had by stopping what may be stopped
-	}
-	byZone := map[string][]slot{}
-	for _, m := range p.Machines {
-		if m.Name == "" || taken[m] || m.Claim != "" && m.Claim != j.ID || !m.Total.Fits(j.Need) || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 ||
-			!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
-			continue
-		}
-		at := p.Now
-		if m.Claim == "" {
-			if at = m.freeAt(j.Need, p.Now); at == math.MaxInt64 {
-				continue
-			}
-		}
-		z := ""
-		if j.Spec.OneZone {
-			z = m.Zone
-		}
-		byZone[z] = append(byZone[z], slot{m, at})
-	}
-	var best []slot
-	for _, z := range slices.Sorted(maps.Keys(byZone)) {
-		list := byZone[z]
-		slices.SortStableFunc(list, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
-		left := j.Pending
-		for i, s := range list {
-			if left -= s.m.Total.Times(j.Need); left <= 0 {
-				if best == nil || s.at < best[len(best)-1].at {
-					best = list[:i+1]
-				}
-				break
-			}
-		}
-	}
-	for _, s := range best {
-		taken[s.m] = true
-		p.plan.Evictions = append(p.plan.Evictions, Eviction{For: j, Machine: s.m})
-	}
-	return best != nil
-}
-
 // mayStopAny tells whether PROTOCOL might permit stopping anything for j.
 func (p *planner) mayStopAny(j *Job) bool {
 	return wire.Tier(j.Spec.Priority) > 1 || p.guaranteed(j)
@@ -1025,6 +981,9 @@
 	if m.Lent && !m.Fair && !p.guaranteed(j) {
 		return false
 	}
+	if m.Promised != nil {
+		return m.Promised.Job == j
+	}
 	if m.Foreign && !m.Lent && m.Claim != j.ID || m.Claim != "" && m.Claim != j.ID || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
 		return false
 	}
