Promises begin after a minute where nothing may be stopped; largest gangs first

So from 60 s on only gangs that can't have their machines at once or by stopping lower tiers, and a gang of eight counts as 35 s older than one of one.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -42,13 +42,14 @@
 }
 
 // promise works out, for all parts, which machines are kept for gangs of which
-// nothing runs though half of begin_within_s is over.
+// nothing runs though a quarter of begin_within_s is over. Until half of it is,
+// only for those that can't have their machines sooner by stopping others.
 func (c *Core) promise() {
 	c.promised = map[string]sched.Promised{}
 	var due []*sched.Job
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
-		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.nPlaced+j.nDone > 0 || c.now < j.at+secs(c.set.Ops.BeginWithinS/2) ||
+		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.nPlaced+j.nDone > 0 || c.now < j.at+secs(c.set.Ops.BeginWithinS/4) ||
 			c.outOfTurn(j) || c.now < j.holdOff {
 			continue
 		}
@@ -70,7 +71,7 @@
 		c.uses(sm, m, nil)
 		list = append(list, sm)
 	}
-	c.promised = sched.Promise(c.now, list, due)
+	c.promised = sched.Promise(c.now, c.now-secs(c.set.Ops.BeginWithinS/2), list, due)
 }
 
 // promisedTo is the part whose gang a machine is kept for; -1: none.
--- a/internal/sched/promise.go
+++ b/internal/sched/promise.go
@@ -23,10 +23,13 @@
 // the rest was done. Every controller works it out for itself from the mirror
 // and keeps to it with its own machines; none has to ask. When they asked for
 // machines one by one, several gangs of eight each held some, waited for the
-// rest, and none began.
-func Promise(now int64, machines []*Machine, due []*Job) map[string]Promised {
+// rest, and none began. A gang accepted after old is promised nothing that it can
+// have at once or by stopping what is of a lower tier: it has that sooner by itself.
+func Promise(now, old int64, machines []*Machine, due []*Job) map[string]Promised {
 	due = slices.Clone(due)
-	slices.SortFunc(due, func(a, b *Job) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.ID, b.ID)) })
+	// The larger a gang, the longer its machines take to empty.
+	rank := func(j *Job) int64 { return j.At - int64(j.Spec.Tasks)*5*Second }
+	slices.SortFunc(due, func(a, b *Job) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID)) })
 	promised := map[string]Promised{}
 	for _, j := range due {
 		byZone := map[string][]slot{}
@@ -59,6 +62,9 @@
 				}
 			}
 		}
+		if best != nil && j.At > old && best[len(best)-1].at <= now+Clearing {
+			continue
+		}
 		for _, s := range best {
 			promised[s.m.Name] = Promised{j, best[len(best)-1].at}
 		}
