--- a/internal/sched/promise.go
+++ b/internal/sched/promise.go
@@ -24,7 +24,8 @@
 // and keeps to it with its own machines; none has to ask. When they asked for
 // machines one by one, several gangs of eight each held some, waited for the
 // rest, and none began. A gang accepted after old is promised nothing that it can
-// have at once or by stopping what is of a lower tier: it has that sooner by itself.
+// have at once or by stopping what is of a lower tier, nor a single machine: it
+// has that sooner by itself.
 func Promise(now, old int64, machines []*Machine, due []*Job) map[string]Promised {
 	due = slices.Clone(due)
 	// The larger a gang, the longer its machines take to empty.
@@ -62,7 +63,7 @@
 				}
 			}
 		}
-		if best != nil && j.At > old && best[len(best)-1].at <= now+Clearing {
+		if best != nil && j.At > old && (len(best) == 1 || best[len(best)-1].at <= now+Clearing) {
 			continue
 		}
 		for _, s := range best {
