--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -130,6 +130,10 @@
 		Body: wire.Push{Token: c.tokenOf(m), Session: max(1, m.session), Commands: cmds}})
 }
 
+// keepEnded is how many ended tasks a worker holds before its token rises so
+// that they can be forgotten.
+const keepEnded = 12
+
 // maxOrders keeps an answer's one line below 64 KiB.
 const maxOrders = 400
 
@@ -180,6 +184,20 @@
 	}
 	seen := map[taskID]bool{}
 	zero := 0.0
+	// A direct start may be repeated long after it was carried out. As long as
+	// its worker holds the attempt that has no effect; once forgotten, it would
+	// start anew. So tasks are forgotten only under a token higher than that of
+	// any direct start there; it rises when enough of them wait for it.
+	forget := r.Token > m.startedBy
+	ended := 0
+	for _, tr := range r.Tasks {
+		if tr.State == wire.Exited {
+			ended++
+		}
+	}
+	if !forget && ended >= keepEnded {
+		m.doubt = true
+	}
 	for _, tr := range r.Tasks {
 		id, ok := parseTask(tr.Task)
 		if !ok {
@@ -199,7 +217,9 @@
 			case j != nil && !j.over && !j.durable(id.n):
 				// What is decided of it is being committed.
 			case tr.State == wire.Exited:
-				order(wire.Forget, id, tr.Attempt, nil)
+				if forget {
+					order(wire.Forget, id, tr.Attempt, nil)
+				}
 			default:
 				order(wire.Stop, id, tr.Attempt, &zero)
 			}
@@ -265,6 +285,11 @@
 	m.told = cmds
 }
 
+// allEnded tells whether the worker shows nothing but ended tasks.
+func (m *machine) allEnded() bool {
+	return !slices.ContainsFunc(m.reported, func(r wire.TaskReport) bool { return r.State != wire.Exited })
+}
+
 func (m *machine) tasks() []taskID {
 	return slices.Clone(m.on)
 }
@@ -439,6 +464,7 @@
 		j := c.jobs[id.job]
 		if t := j.task(id.n); !t.shown && t.pushed == 0 && j.part == m.rec.Cur && !c.mustStop(j, t) && j.durable(id.n) && c.mayStart(m, j) && len(cmds) < maxOrders {
 			t.pushed = c.tokenOf(m)
+			m.startedBy = max(m.startedBy, t.pushed)
 			cmds = append(cmds, wire.Command{Op: wire.Start, Task: id.String(), Attempt: t.attempt})
 			continue
 		}
@@ -596,7 +622,7 @@
 				c.leave(j, t, "the machine will be taken")
 			}
 		}
-		if len(m.on) == 0 && len(m.reported) == 0 {
+		if len(m.on) == 0 && m.allEnded() {
 			c.remove(m, "drained")
 		}
 	case c.promisedTo(m) >= 0 && m.moveTo < 0:
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -188,12 +188,14 @@
 	claim    string
 	claimTo  int64
 	reported []wire.TaskReport
-	doubt    bool // a direct start had no answer: its token must be outdone
-	moveTo   int  // part that is to get it once it is empty; -1: none
-	evict    bool // its tasks are stopped for the move
-	claimG   bool // the claim is by a guarantee
-	delSent  bool
-	delOK    bool
+	// startedBy is the highest token of a direct start sent there by us.
+	startedBy uint64
+	doubt     bool // a direct start had no answer: its token must be outdone
+	moveTo    int  // part that is to get it once it is empty; -1: none
+	evict     bool // its tasks are stopped for the move
+	claimG    bool // the claim is by a guarantee
+	delSent   bool
+	delOK     bool
 }
 
 // machineOp is a change of a machine's record.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -397,7 +397,7 @@
 }
 
 func (c *Core) lendable(m *machine) bool {
-	return c.ours(m) != nil && m.ready && c.promisedTo(m) < 0 && c.emptied(m) && len(m.reported) == 0 && !m.busy() && !m.rec.Gone && !m.sick &&
+	return c.ours(m) != nil && m.ready && c.promisedTo(m) < 0 && c.emptied(m) && m.allEnded() && !m.busy() && !m.rec.Gone && !m.sick &&
 		m.notice == 0 && !c.claimed(m) && m.deaf == 0 && c.now < m.seenAt+c.lately()
 }
 
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"spurmoor/internal/core"
 	"spurmoor/internal/wire"
@@ -16,12 +17,15 @@
 	on     map[string][]*wtask // task → where it is
 	broken []string
 	starts int
-	begun  map[string]int64 // job → its first start
-	killed map[string]int64 // job → when its user was told it is cancelled
+	begun  map[string]int64          // job → its first start
+	killed map[string]int64          // job → when its user was told it is cancelled
+	used   map[string]float64        // team → GPUs
+	inZone map[string]map[string]int // job → zone → tasks
 }
 
 func newChecker(w *World) *checker {
-	return &checker{w: w, on: map[string][]*wtask{}, begun: map[string]int64{}, killed: map[string]int64{}}
+	return &checker{w: w, on: map[string][]*wtask{}, begun: map[string]int64{}, killed: map[string]int64{},
+		used: map[string]float64{}, inZone: map[string]map[string]int{}}
 }
 
 func (c *checker) breaks(rule, what string) {
@@ -51,19 +55,8 @@
 	if spec.Types != nil && spec.Types[0] != wk.typ.Name || spec.Zone != "" && spec.Zone != wk.zone || wk.spot && !spec.Spot {
 		c.breaks("wrong_place", fmt.Sprintf("%s on %s in %s, spot %t", t.id, wk.typ.Name, wk.zone, wk.spot))
 	}
-	inZone := map[string]int{}
-	used := 0.0
-	for _, list := range c.on {
-		for _, o := range list {
-			other := c.w.truth[o.job].spec(0)
-			if o.job == t.job {
-				inZone[o.w.zone]++
-			}
-			if other.Team == spec.Team {
-				used += other.GPUs
-			}
-		}
-	}
+	c.count(t, 1)
+	inZone, used := c.inZone[t.job], c.used[spec.Team]
 	if spec.OneZone && len(inZone) > 1 {
 		c.breaks("wrong_place", t.id+" in a second zone")
 	}
@@ -77,9 +70,24 @@
 	}
 }
 
+// count counts a task that is on its machine, or no more.
+func (c *checker) count(t *wtask, by int) {
+	spec := c.w.truth[t.job].spec(0)
+	c.used[spec.Team] += float64(by) * spec.GPUs
+	z := c.inZone[t.job]
+	if z == nil {
+		z = map[string]int{}
+		c.inZone[t.job] = z
+	}
+	if z[t.w.zone] += by; z[t.w.zone] == 0 {
+		delete(z, t.w.zone)
+	}
+}
+
 func (c *checker) left(t *wtask) {
 	for i, o := range c.on[t.id] {
 		if o == t {
+			c.count(t, -1)
 			c.on[t.id] = append(c.on[t.id][:i:i], c.on[t.id][i+1:]...)
 		}
 	}
@@ -160,9 +168,12 @@
 		{"changes", c.w.store.changes.sum, c.w.sc.MostChanges},
 		{"requests to the store", c.w.store.reqs.sum, c.w.sc.MostRequests},
 		{"calls of the cloud", c.w.cloud.calls, c.w.sc.MostCalls},
+		{"requests waiting at a controller at a time", c.w.waiting, c.w.sc.MostWaiting},
+		{"direct commands out at a time", c.w.pushing, c.w.sc.MostPushes},
+		{"machines at a time, too few for the day", c.w.sc.LeastMachines - c.w.machines, 0},
 	} {
 		c.w.say("%d %s, %d and %d of the store refused", n.had, n.what, c.w.store.reqs.refused, c.w.store.changes.refused)
-		if n.most > 0 && n.had > n.most {
+		if n.most > 0 && n.had > n.most || n.had > 0 && strings.Contains(n.what, "too few") {
 			c.breaks("budget", fmt.Sprintf("%d %s, at most %d", n.had, n.what, n.most))
 		}
 	}
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -18,31 +18,36 @@
 
 // Scenario is a day, written as a small TOML file.
 type Scenario struct {
-	About        string     `toml:"about"`
-	Seed         uint64     `toml:"seed"`
-	DurationS    float64    `toml:"duration_s"`
-	LeaseS       float64    `toml:"lease_s"`
-	CancelS      float64    `toml:"cancel_s"`
-	ReportS      float64    `toml:"report_s"`
-	TxnOps       int        `toml:"txn_ops"`
-	RPS          float64    `toml:"rps"`          // requests a second that the state service admits
-	WriteRPS     float64    `toml:"write_rps"`    // changes a second
-	Lost         float64    `toml:"lost"`         // share of the state service's answers that never arrive
-	Late         float64    `toml:"late"`         // share of requests to it carried out seconds late
-	Copies       float64    `toml:"copies"`       // share of reports of which a copy comes later, up to two leases
-	Unserved     bool       `toml:"unserved"`     // the day ends before half of everything can be served
-	MostChanges  int        `toml:"most_changes"` // that the state service may be asked for in all; 0: any
-	MostRequests int        `toml:"most_requests"`
-	MostCalls    int        `toml:"most_calls"` // of the cloud
-	Teams        []Team     `toml:"team"`
-	Types        []Type     `toml:"type"`
-	Jobs         []Job      `toml:"job"`
-	Faults       []Fault    `toml:"fault"`
-	Random       *Random    `toml:"random"`
-	Expects      []Expected `toml:"expect"`
-	Breaks       string     `toml:"breaks"` // the rule that a deliberate fault must break
-	Said         string     `toml:"said"`   // a line that the log must hold
-	Unsaid       string     `toml:"unsaid"` // a line that it must not hold
+	About         string     `toml:"about"`
+	Seed          uint64     `toml:"seed"`
+	DurationS     float64    `toml:"duration_s"`
+	LeaseS        float64    `toml:"lease_s"`
+	CancelS       float64    `toml:"cancel_s"`
+	ReportS       float64    `toml:"report_s"`
+	TxnOps        int        `toml:"txn_ops"`
+	RPS           float64    `toml:"rps"`          // requests a second that the state service admits
+	WriteRPS      float64    `toml:"write_rps"`    // changes a second
+	Lost          float64    `toml:"lost"`         // share of the state service's answers that never arrive
+	Late          float64    `toml:"late"`         // share of requests to it carried out seconds late
+	Copies        float64    `toml:"copies"`       // share of reports of which a copy comes later, up to two leases
+	Repeats       float64    `toml:"repeats"`      // share of requests and commands carried out once more, up to two leases later
+	Unserved      bool       `toml:"unserved"`     // the day ends before half of everything can be served
+	MostChanges   int        `toml:"most_changes"` // that the state service may be asked for in all; 0: any
+	MostRequests  int        `toml:"most_requests"`
+	MostCalls     int        `toml:"most_calls"`     // of the cloud
+	MostWaiting   int        `toml:"most_waiting"`   // requests at a controller at a time
+	MostPushes    int        `toml:"most_pushes"`    // direct commands of a controller at a time
+	LeastMachines int        `toml:"least_machines"` // that must have been up at a time
+	Connections   int        `toml:"connections"`    // a process's sockets
+	Teams         []Team     `toml:"team"`
+	Types         []Type     `toml:"type"`
+	Jobs          []Job      `toml:"job"`
+	Faults        []Fault    `toml:"fault"`
+	Random        *Random    `toml:"random"`
+	Expects       []Expected `toml:"expect"`
+	Breaks        string     `toml:"breaks"` // the rule that a deliberate fault must break
+	Said          string     `toml:"said"`   // a line that the log must hold
+	Unsaid        string     `toml:"unsaid"` // a line that it must not hold
 }
 
 // Team of a scenario.
@@ -119,7 +124,7 @@
 
 // Parse reads a scenario.
 func Parse(text []byte) (*Scenario, error) {
-	s := &Scenario{Seed: 1, DurationS: 300, LeaseS: 20, CancelS: 45, ReportS: 3, TxnOps: 12, RPS: 200, WriteRPS: 60}
+	s := &Scenario{Seed: 1, DurationS: 300, LeaseS: 20, CancelS: 45, ReportS: 3, TxnOps: 12, RPS: 200, WriteRPS: 60, Connections: 1000}
 	dec := toml.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(s); err != nil {
@@ -135,7 +140,7 @@
 		rng := rand.New(rand.NewPCG(s.Seed, 77))
 		for range r.Faults {
 			s.Faults = append(s.Faults, Fault{AtS: r.FromS + rng.Float64()*(r.ToS-r.FromS), ForS: 1 + rng.Float64()*25,
-				Kind: r.Kinds[rng.IntN(len(r.Kinds))], Node: rng.IntN(3), Hold: rng.IntN(2) == 0})
+				Kind: r.Kinds[rng.IntN(len(r.Kinds))], Node: rng.IntN(3), Hold: rng.IntN(2) == 0, Zone: zones[rng.IntN(2)]})
 		}
 	}
 	return s, nil
@@ -219,7 +224,7 @@
 	f.Workers.GangWaitS, f.Workers.GangPeerS = 40, 4
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = s.RPS, s.WriteRPS, 8, s.TxnOps
 	f.Cloud.RPS, f.Cloud.ListLagS = 6, 5
-	f.Limits.Cores, f.Limits.MemMB, f.Limits.MaxConnections = 0.2, 100, 1000
+	f.Limits.Cores, f.Limits.MemMB, f.Limits.MaxConnections = 0.2, 100, s.Connections
 	raw, err := json.Marshal(p)
 	if err != nil {
 		return nil, err
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -48,7 +48,7 @@
 			f(nil)
 		}
 	})
-	if !n.up || n.cut["all"] {
+	if !n.up || n.cut["all"] || n.cut["users"] {
 		return
 	}
 	w.after(w.latency(), func() {
@@ -77,6 +77,7 @@
 		if !u.accepted {
 			u.accepted = true
 			u.w.after(5*second, u.poll)
+			u.w.again(u.submit)
 		}
 	})
 }
@@ -108,6 +109,7 @@
 	u.through(func(req uint64) any { return core.Cancel{Req: req, ID: u.id} }, func(a *core.Answer) {
 		if a != nil && a.Status == 200 {
 			u.w.check.cancelled(u, a.Body.(wire.JobStatus).State)
+			u.w.again(u.cancel)
 			return
 		}
 		if a == nil || a.Status != 404 || !u.accepted {
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -59,6 +59,7 @@
 	if w.live != nil {
 		wk.addr = w.live.listen(wk)
 	}
+	w.byAddr[wk.addr] = wk
 	w.after(int64(t.BootS*(0.6+0.9*w.rng.Float64())*float64(second)), func() {
 		if !wk.gone {
 			wk.up, wk.leased = true, w.now
@@ -68,14 +69,7 @@
 	return wk
 }
 
-func (w *World) workerAt(addr string) *worker {
-	for _, wk := range w.workers {
-		if wk.addr == addr {
-			return wk
-		}
-	}
-	return nil
-}
+func (w *World) workerAt(addr string) *worker { return w.byAddr[addr] }
 
 // awake does something now, or when a hanging machine resumes.
 func (wk *worker) awake(do func()) {
@@ -224,12 +218,12 @@
 		w.after(second/100, func() { finish(w.now+second, (wk.node+1)%3); wk.nextAt = max(wk.nextAt, w.now+second) })
 		return
 	}
-	w.carry(n, "workers", func() {
+	w.between(n, wk, func() {
 		if !n.up {
 			return
 		}
 		w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: r} }, func(a core.Answer) {
-			w.carry(n, "workers", func() { answered(a) })
+			w.between(n, wk, func() { answered(a) })
 		})
 	})
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -51,32 +51,40 @@
 	held    []func()
 	reqs    map[uint64]func(core.Answer)
 	nextReq uint64
-	pushing int // direct commands out
+	pushing int   // direct commands out
+	pushes  int   // that may be out at a time
+	frozen  bool  // stands still while clocks run
+	queued  []any // inputs that came meanwhile
 }
 
-// mostPushes is how many direct commands a node has out at a time.
-const mostPushes = 20
+func (n *node) zone() string { return zones[n.i%2] }
 
 // World is a day being played.
 type World struct {
-	sc      *Scenario
-	now     int64
-	rng     *rand.Rand
-	q       queue
-	seq     int
-	nodes   []*node
-	store   *store
-	cloud   *cloud
-	workers []*worker
-	users   []*user
-	check   *checker
-	saved   map[string]int64
-	results map[string]bool
-	truth   map[string]Job
-	live    live
-	muted   string // job whose user gets no answers
-	calm    int64  // when the last trouble was over
-	Log     []string
+	sc       *Scenario
+	now      int64
+	rng      *rand.Rand
+	q        queue
+	seq      int
+	nodes    []*node
+	store    *store
+	cloud    *cloud
+	workers  []*worker
+	byAddr   map[string]*worker
+	users    []*user
+	check    *checker
+	saved    map[string]int64
+	results  map[string]bool
+	truth    map[string]Job
+	live     live
+	waiting  int    // peak of requests at a controller
+	pushing  int    // peak of its direct commands
+	machines int    // peak of those up
+	cutZone  string // zone cut off from all others
+	crossed  []func()
+	muted    string // job whose user gets no answers
+	calm     int64  // when the last trouble was over
+	Log      []string
 }
 
 // live carries what the workers say over real sockets; nil in simulated time.
@@ -87,7 +95,7 @@
 
 func newWorld(sc *Scenario, l live) *World {
 	w := &World{sc: sc, now: 1_700_000_000 * second, rng: rand.New(rand.NewPCG(sc.Seed, 1)),
-		saved: map[string]int64{}, results: map[string]bool{}, truth: map[string]Job{}, live: l}
+		saved: map[string]int64{}, results: map[string]bool{}, truth: map[string]Job{}, live: l, byAddr: map[string]*worker{}}
 	w.check = newChecker(w)
 	w.store = newStore(w)
 	w.cloud = newCloud(w)
@@ -121,6 +129,15 @@
 			w.step(n, core.Tick{})
 		}
 	})
+	w.every(second, func() {
+		up := 0
+		for _, wk := range w.workers {
+			if wk.up && !wk.gone {
+				up++
+			}
+		}
+		w.machines = max(w.machines, up)
+	})
 	for _, j := range sc.Jobs {
 		for k := range max(1, j.Count) {
 			w.addUser(j, j.ID+k, start+int64((j.AtS+float64(k)*j.EveryS)*float64(second)))
@@ -163,6 +180,8 @@
 	}
 	n.epoch++
 	n.up, n.reqs = true, map[uint64]func(core.Answer){}
+	n.frozen, n.queued = false, nil
+	n.pushes = set.Sockets.Pushes
 	n.core = core.New(set, w.rng.Uint64()>>12, rand.New(rand.NewPCG(w.sc.Seed, uint64(100+n.i))))
 	return nil
 }
@@ -171,6 +190,12 @@
 	if !n.up {
 		return
 	}
+	if n.frozen {
+		if _, ok := in.(core.Tick); !ok {
+			n.queued = append(n.queued, in)
+		}
+		return
+	}
 	for _, e := range n.core.Step(w.now, in) {
 		w.effect(n, e)
 	}
@@ -181,11 +206,29 @@
 	n.nextReq++
 	req := n.nextReq
 	n.reqs[req] = f
+	w.waiting = max(w.waiting, len(n.reqs))
 	w.step(n, in(req))
 }
 
 func (w *World) latency() int64 { return second/1000 + w.rng.Int64N(second/200) }
 
+// between delivers something between a node and a worker, unless a zone's cut
+// lies between them, which holds it back until it ends.
+func (w *World) between(n *node, wk *worker, do func()) {
+	if w.cutZone != "" && (n.zone() == w.cutZone) != (wk.zone == w.cutZone) {
+		w.crossed = append(w.crossed, func() { w.carry(n, "workers", do) })
+		return
+	}
+	w.carry(n, "workers", do)
+}
+
+// again carries a request out once more, long after the first time.
+func (w *World) again(do func()) {
+	if w.sc.Repeats > 0 && w.rng.Float64() < w.sc.Repeats {
+		w.after(second/2+w.rng.Int64N(int64(2*w.sc.LeaseS*float64(second))), do)
+	}
+}
+
 // carry delivers something between a node and the party named unless that
 // way is cut; a cut may hold it back until it ends.
 func (w *World) carry(n *node, to string, do func()) {
@@ -226,6 +269,9 @@
 		}
 		w.after(late, func() {
 			w.carry(n, "store", func() {
+				if v.Op == core.OpTxn {
+					w.again(func() { w.store.call(n, v, func(*core.StoreReply) {}) })
+				}
 				w.store.call(n, v, func(r *core.StoreReply) {
 					if v.Op != core.OpFollow && w.rng.Float64() < w.sc.Lost {
 						return
@@ -240,16 +286,36 @@
 			})
 		})
 	case core.CloudCall:
+		answered := false
+		w.after(5*second, func() {
+			if !answered {
+				answered = true
+				back(&core.CloudReply{Call: v.Call})
+			}
+		})
 		w.after(second/5, func() {
-			r := w.cloud.call(v)
-			w.after(second/20, func() { back(r) })
+			w.carry(n, "cloud", func() {
+				r := w.cloud.call(v)
+				if v.Op == core.OpRent || v.Op == core.OpDelete {
+					w.again(func() { w.cloud.call(v) })
+				}
+				w.after(second/20, func() {
+					w.carry(n, "cloud", func() {
+						if !answered {
+							answered = true
+							back(r)
+						}
+					})
+				})
+			})
 		})
 	case core.Push:
-		if n.pushing >= mostPushes {
+		if n.pushing >= n.pushes {
 			back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts, Unsent: true})
 			return
 		}
 		n.pushing++
+		w.pushing = max(w.pushing, n.pushing)
 		answered := false
 		w.after(3*second, func() {
 			if !answered {
@@ -258,17 +324,18 @@
 				back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts})
 			}
 		})
-		w.carry(n, "workers", func() {
-			wk := w.workerAt(v.Addr)
-			if wk == nil || wk.gone || !wk.up {
-				return
-			}
-			if wk.deaf {
+		wk := w.workerAt(v.Addr)
+		if wk == nil {
+			return
+		}
+		w.between(n, wk, func() {
+			if wk.gone || !wk.up || wk.deaf {
 				return
 			}
 			wk.awake(func() {
 				status, rep := wk.commands(v.Body)
-				w.carry(n, "workers", func() {
+				w.again(func() { wk.awake(func() { wk.commands(v.Body) }) })
+				w.between(n, wk, func() {
 					if !answered {
 						answered = true
 						n.pushing--
@@ -300,6 +367,7 @@
 	w.say("FAULT %s %s for %.1f s", f.Kind, n.name, f.ForS)
 	lasts := int64(f.ForS * float64(second))
 	cut := func(what string) {
+		n := n
 		n.cut[what], n.hold = true, f.Hold
 		w.after(lasts, func() {
 			n.cut[what] = false
@@ -354,6 +422,39 @@
 	case "isolated": // from all but its workers
 		cut("store")
 		cut("peers")
+	case "zone_cut": // held back until it ends
+		w.cutZone = f.Zone
+		for _, o := range w.nodes {
+			if o.zone() != f.Zone {
+				continue
+			}
+			n, f.Hold = o, true
+			for _, what := range []string{"store", "peers", "cloud", "users"} {
+				cut(what)
+			}
+		}
+		w.after(lasts, func() {
+			w.cutZone = ""
+			crossed := w.crossed
+			w.crossed = nil
+			for _, do := range crossed {
+				do()
+			}
+		})
+	case "freeze":
+		epoch := n.epoch
+		n.frozen = true
+		w.after(lasts, func() {
+			if n.epoch != epoch {
+				return
+			}
+			n.frozen = false
+			queued := n.queued
+			n.queued = nil
+			for _, in := range queued {
+				w.step(n, in)
+			}
+		})
 	case "garble": // a log entry's value becomes unreadable
 		if keys := w.store.sorted(fmt.Sprintf("live/l/%d/", max(0, f.Part-1))); len(keys) > 0 {
 			w.store.apply([]wire.Write{{Put: keys[0], Value: []byte(`"?"`)}})
