--- /dev/null
+++ b/internal/sched/evict.go
@@ -0,0 +1,191 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"spurmoor/internal/wire"
+)
+
+// mayStop tells whether PROTOCOL permits stopping u for j.
+func (p *planner) mayStop(j *Job, u Use) bool {
+	if u.Job == nil || u.Index < 0 {
+		return false
+	}
+	if wire.Tier(u.Job.Spec.Priority) < wire.Tier(j.Spec.Priority) {
+		return true
+	}
+	if wire.Tier(u.Job.Spec.Priority) > wire.Tier(j.Spec.Priority) {
+		return false // permitted within a guarantee, but it costs more than it serves
+	}
+	if u.New || u.Job.score > j.score {
+		return false // it would take the room again in the next cycle, and so on
+	}
+	mine, theirs := p.Teams[j.Spec.Team], p.Teams[u.Job.Spec.Team]
+	return mine != nil && theirs != nil && mine != theirs && mine.inGuarantee(j.Need, int64(j.Pending)) && theirs.Beyond(u.Need)
+}
+
+func (p *planner) guaranteed(j *Job) bool {
+	t := p.Teams[j.Spec.Team]
+	return t != nil && t.inGuarantee(j.Need, int64(j.blocked))
+}
+
+func (t *Team) inGuarantee(need Res, n int64) bool {
+	g := t.Guarantee
+	if g.CPU == 0 && g.GPU == 0 {
+		return false
+	}
+	u := t.Used.Add(need, n)
+	return (g.CPU == 0 || u.CPU <= g.CPU) && (g.GPU == 0 || u.GPU <= g.GPU)
+}
+
+// Beyond tells whether a team has its whole guarantee even without need.
+func (t *Team) Beyond(need Res) bool {
+	g := t.Guarantee
+	if g.CPU == 0 && g.GPU == 0 {
+		return false
+	}
+	return (g.CPU == 0 || t.Used.CPU-need.CPU >= g.CPU) && (g.GPU == 0 || t.Used.GPU-need.GPU >= g.GPU)
+}
+
+// Bounds of one pass: so many blocked jobs, best first, may have others
+// stopped for them, and so many machines are asked for; the next cycle goes on
+// where this one ended.
+const (
+	reserveGangs = 32
+	evictJobs    = 16
+	evictMost    = 32
+	rentMost     = 150
+	blockedMost  = 400
+)
+
+// clearing is what emptying a machine for a job costs.
+type clearing struct {
+	m    *Machine
+	uses []Use
+	lost int64
+	fits int
+}
+
+// evict stops tasks for blocked jobs: the machines whose emptying loses the
+// least work, unless room is expected soon anyway. A gang gets all it needs
+// claimed at once, free machines included, in one zone where it must be.
+func (p *planner) evict(blocked []*Job) {
+	machines, jobs := 0, 0
+	taken := map[*Machine]bool{}
+	for _, j := range blocked {
+		if jobs >= evictJobs || machines >= evictMost {
+			break
+		}
+		if j.Deprior || !p.mayStopAny(j) {
+			continue
+		}
+		if slices.ContainsFunc(p.Machines, func(m *Machine) bool { return m.Promised != nil && m.Promised.Job == j }) {
+			continue
+		}
+		// What others have reserved does not count: several gangs once waited
+		// for the same machine, each sure that it would be free soon.
+		_, soon := p.soonestSet(j, func(m *Machine) bool {
+			return !m.Borrowable && (!m.Foreign || m.Claim == j.ID) && !taken[m] && (p.resFor[m] == nil || p.resFor[m] == j)
+		})
+		if soon < p.Now+int64((j.Spec.SaveS+10)*float64(Second)) {
+			continue
+		}
+		jobs++
+		set := p.clearings(j, taken)
+		var least int64
+		equal := false
+		for _, c := range set {
+			least += c.lost
+			equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return wire.Tier(u.Job.Spec.Priority) >= wire.Tier(j.Spec.Priority) })
+		}
+		if equal && least > soon-p.Now {
+			continue // more work would be lost than wait saved
+		}
+		for _, c := range set {
+			taken[c.m] = true
+			if c.m.Claim == j.ID {
+				continue
+			}
+			machines++
+			p.plan.Evictions = append(p.plan.Evictions, Eviction{j, c.m, c.uses, p.guaranteed(j)})
+		}
+	}
+}
+
+// mayStopAny tells whether PROTOCOL might permit stopping anything for j.
+func (p *planner) mayStopAny(j *Job) bool {
+	return wire.Tier(j.Spec.Priority) > 1 || p.guaranteed(j)
+}
+
+// clearings is the machines that cost least to empty for a whole gang, or for
+// one task of another job; nil where there are not enough.
+func (p *planner) clearings(j *Job, taken map[*Machine]bool) []clearing {
+	need := 1
+	if j.Spec.Kind == wire.Gang {
+		need = j.Pending
+	}
+	byZone := map[string][]clearing{}
+	for _, m := range p.Machines {
+		if !m.Usable && !m.Foreign && m.Claim != j.ID || m.Borrowable || m.Claim != "" && m.Claim != j.ID || taken[m] || !m.Total.Fits(j.Need) ||
+			j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || !Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+			continue
+		}
+		if at, ok := p.reserved[m]; ok && p.resFor[m] != j && at < math.MaxInt64 {
+			continue
+		}
+		c := clearing{m: m}
+		free := m.Free
+		if m.Claim != j.ID {
+			uses := slices.Clone(m.Uses)
+			slices.SortStableFunc(uses, func(a, b Use) int { return cmp.Compare(a.Lost, b.Lost) })
+			for _, u := range uses {
+				if free.Times(j.Need) >= need && !m.Foreign {
+					break
+				}
+				if u.Leaving || p.mayStop(j, u) {
+					free = free.Add(u.Need, 1)
+					c.lost += u.Lost
+					c.uses = append(c.uses, u)
+				}
+			}
+			if m.Foreign {
+				if len(c.uses) < len(uses) || len(uses) == 0 {
+					// It moves only empty; and one that is empty but not offered
+					// is being kept for another job: two parts took it from
+					// each other, stopping what it ran each time.
+					continue
+				}
+				c.lost += 5 * Second
+			}
+		} else {
+			free = m.Total
+		}
+		if c.fits = free.Times(j.Need); c.fits > 0 {
+			z := ""
+			if j.Spec.OneZone {
+				z = m.Zone
+			}
+			byZone[z] = append(byZone[z], c)
+		}
+	}
+	var best []clearing
+	var least int64 = math.MaxInt64
+	for _, z := range slices.Sorted(maps.Keys(byZone)) {
+		list := byZone[z]
+		slices.SortStableFunc(list, func(a, b clearing) int { return cmp.Compare(a.lost/int64(a.fits), b.lost/int64(b.fits)) })
+		left, lost := need, int64(0)
+		for i, c := range list {
+			lost += c.lost
+			if left -= c.fits; left <= 0 {
+				if lost < least {
+					best, least = list[:i+1], lost
+				}
+				break
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,332 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"spurmoor/internal/wire"
+)
+
+// perZone is how many more of the job's tasks a zone may take.
+func (j *Job) perZone(zone string) int {
+	if j.zone != "" && zone != j.zone {
+		return 0
+	}
+	if j.Spec.OneZone {
+		for z, n := range j.InZone {
+			if n > 0 && z != zone {
+				return 0
+			}
+		}
+	}
+	if j.Spec.Spread {
+		return (j.Spec.Tasks+1)/2 - j.InZone[zone]
+	}
+	return j.Spec.Tasks
+}
+
+// usable tells whether the machine may take a task of the job now.
+func (p *planner) usable(j *Job, m *Machine) bool {
+	if !m.Usable || !m.Free.Fits(j.Need) || m.Borrowable || m.Foreign || j.Avoid[m.Name] ||
+		!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) || (m.Claim != "" && m.Claim != j.ID) || p.cached && !m.Has(j.Spec.Image) {
+		return false
+	}
+	if at, ok := p.reserved[m]; ok && p.resFor[m] != j {
+		end := p.Now + int64(j.Spec.EstimateS*float64(Second))
+		if !m.Has(j.Spec.Image) {
+			end += p.fetch(j, m.Type)
+		}
+		return j.Spec.Kind != wire.Daemon && end <= at
+	}
+	return true
+}
+
+func (p *planner) put(j *Job, m *Machine) {
+	m.Free = m.Free.Add(j.Need, -1)
+	j.InZone[m.Zone]++
+	j.Pending--
+	if t := p.Teams[j.Spec.Team]; t != nil {
+		t.Used = t.Used.Add(j.Need, 1)
+	}
+	end := p.Now + int64(j.Spec.EstimateS*float64(Second))
+	if !m.Has(j.Spec.Image) {
+		end += p.fetch(j, m.Type)
+	}
+	m.use(Use{Job: j, Index: -1, Need: j.Need, End: end})
+	if !m.Has(j.Spec.Image) {
+		m.Images = append(slices.Clip(m.Images), j.Spec.Image) // fetched once for all
+	}
+	p.ends(j, end)
+	p.plan.Starts = append(p.plan.Starts, Start{j, m})
+}
+
+// place starts what fits of a job and tells how many tasks lack room.
+func (p *planner) place(j *Job) int {
+	want := min(j.Pending, p.admits(j))
+	if j.Spec.Kind == wire.Gang && want < j.Pending || want == 0 {
+		p.plan.Why[j.ID] = "the team's limit is used up"
+		return 0
+	}
+	if j.Spec.Kind == wire.Gang {
+		if p.placeGang(j) {
+			return 0
+		}
+		p.plan.Why[j.ID] = "no room for the whole gang at once"
+		return j.Pending
+	}
+	if j.Spec.Kind == wire.Array {
+		want = p.fill(j, want)
+	} else {
+		for m := p.pick(j); m != nil && want > 0; want-- {
+			p.put(j, m)
+			m = p.pick(j)
+		}
+	}
+	if want > 0 {
+		p.plan.Why[j.ID] = "no machine with room that the job may use"
+	}
+	return want
+}
+
+// fill puts an array's tasks singly into free room, in the order of pick, and
+// tells how many found none.
+func (p *planner) fill(j *Job, want int) int {
+	type choice struct {
+		m   *Machine
+		key [4]int64
+	}
+	var list []choice
+	for _, m := range p.Machines {
+		if p.usable(j, m) && j.perZone(m.Zone) > 0 {
+			list = append(list, choice{m, p.key(j, m)})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b choice) int { return slices.Compare(a.key[:], b.key[:]) })
+	for _, c := range list {
+		for want > 0 && c.m.Free.Fits(j.Need) && j.perZone(c.m.Zone) > 0 {
+			p.put(j, c.m)
+			want--
+		}
+	}
+	return want
+}
+
+// key orders the machines for a task: services spread over zones, array
+// tasks fill: cheap kinds first, then a cached image, then the tightest room.
+func (p *planner) key(j *Job, m *Machine) [4]int64 {
+	var k [4]int64
+	if j.Spec.Kind == wire.Daemon {
+		k[0] = int64(j.InZone[m.Zone])
+	}
+	if !m.Has(j.Spec.Image) {
+		k[1] = p.fetch(j, m.Type) / Second
+	}
+	if !m.Spot {
+		k[1] += 4
+	}
+	left := m.Free.Add(j.Need, -1)
+	k[2], k[3] = left.GPU, left.CPU
+	return k
+}
+
+// admits is how many more tasks the team's limit admits.
+func (p *planner) admits(j *Job) int {
+	t := p.Teams[j.Spec.Team]
+	if t == nil {
+		return 0
+	}
+	n := j.Pending
+	if t.Limit.CPU > 0 && j.Need.CPU > 0 {
+		n = min(n, int(max(0, t.Limit.CPU-t.Used.CPU)/j.Need.CPU))
+	}
+	if t.Limit.GPU > 0 && j.Need.GPU > 0 {
+		n = min(n, int(max(0, t.Limit.GPU-t.Used.GPU)/j.Need.GPU))
+	}
+	return n
+}
+
+// pick chooses a machine for one task.
+func (p *planner) pick(j *Job) *Machine {
+	var best *Machine
+	var key [4]int64
+	for _, m := range p.Machines {
+		if !p.usable(j, m) || j.perZone(m.Zone) <= 0 {
+			continue
+		}
+		if k := p.key(j, m); best == nil || slices.Compare(k[:], key[:]) < 0 {
+			best, key = m, k
+		}
+	}
+	return best
+}
+
+// placeGang puts a whole gang on the smallest set of machines in the fewest
+// zones, or nothing.
+func (p *planner) placeGang(j *Job) bool {
+	byZone := map[string][]*Machine{}
+	var zones []string
+	for _, m := range p.Machines {
+		if p.usable(j, m) {
+			if byZone[m.Zone] == nil {
+				zones = append(zones, m.Zone)
+			}
+			byZone[m.Zone] = append(byZone[m.Zone], m)
+		}
+	}
+	slices.Sort(zones)
+	room := map[string]int{}
+	for z, ms := range byZone {
+		slices.SortStableFunc(ms, func(a, b *Machine) int {
+			cached := func(m *Machine) int {
+				if m.Has(j.Spec.Image) {
+					return 0
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(b.Free.Times(j.Need), a.Free.Times(j.Need)), cmp.Compare(cached(a), cached(b)),
+				cmp.Compare(a.Type.Price, b.Type.Price))
+		})
+		for _, m := range ms {
+			room[z] += m.Free.Times(j.Need)
+		}
+		room[z] = min(room[z], j.perZone(z))
+	}
+	// The zone with the most room first: fewest zones; among those that hold
+	// it all, the fewest machines.
+	slices.SortStableFunc(zones, func(a, b string) int {
+		ra, rb := min(room[a], j.Pending), min(room[b], j.Pending)
+		return cmp.Or(cmp.Compare(rb, ra), cmp.Compare(span(byZone[a], j), span(byZone[b], j)), cmp.Compare(a, b))
+	})
+	var set []*Machine
+	left := j.Pending
+	for _, z := range zones {
+		take := min(left, room[z])
+		left -= take
+		for _, m := range byZone[z] {
+			for n := m.Free.Times(j.Need); n > 0 && take > 0; n-- {
+				set = append(set, m)
+				take--
+			}
+		}
+		if left == 0 || j.Spec.OneZone {
+			break
+		}
+	}
+	if left > 0 {
+		return false
+	}
+	for _, m := range set {
+		p.put(j, m)
+	}
+	return true
+}
+
+// span is how many of the machines, in order, the gang takes.
+func span(ms []*Machine, j *Job) int {
+	left := j.Pending
+	for i, m := range ms {
+		if left -= m.Free.Times(j.Need); left <= 0 {
+			return i + 1
+		}
+	}
+	return math.MaxInt32
+}
+
+// use adds a task and keeps the order of their ends.
+func (m *Machine) use(u Use) {
+	m.sortUses()
+	at, _ := slices.BinarySearchFunc(m.Uses, u.End, func(o Use, end int64) int { return cmp.Compare(o.End, end) })
+	m.Uses = slices.Insert(m.Uses, at, u)
+}
+
+func (m *Machine) sortUses() {
+	if !m.byEnd {
+		m.byEnd = true
+		m.Uses = slices.Clone(m.Uses)
+		slices.SortStableFunc(m.Uses, func(a, b Use) int { return cmp.Compare(a.End, b.End) })
+	}
+}
+
+// freeAt is when the machine is expected to have room for need.
+func (m *Machine) freeAt(need Res, now int64) int64 {
+	if !m.Total.Fits(need) {
+		return math.MaxInt64
+	}
+	at := now
+	if !m.Usable {
+		at = max(now, m.ReadyAt)
+	}
+	free := m.Free
+	if free.Fits(need) {
+		return at
+	}
+	m.sortUses()
+	for _, u := range m.Uses {
+		if u.Job != nil && u.Job.Spec.Kind == wire.Daemon {
+			continue
+		}
+		free = free.Add(u.Need, 1)
+		if free.Fits(need) {
+			return max(at, u.End)
+		}
+	}
+	return math.MaxInt64
+}
+
+type slot struct {
+	m  *Machine
+	at int64
+}
+
+// soonestSet is the machines freeing soonest for all of a job's tasks, in one
+// zone where the job must stay in one, and when the last of them is free.
+func (p *planner) soonestSet(j *Job, able func(m *Machine) bool) ([]slot, int64) {
+	byZone := map[string][]slot{}
+	for _, m := range p.Machines {
+		if !able(m) || j.Avoid[m.Name] || j.perZone(m.Zone) <= 0 || m.Claim != "" && m.Claim != j.ID ||
+			!Allowed(j.Spec, m.Type.Name, m.Zone, m.Spot) {
+			continue
+		}
+		if at := m.freeAt(j.Need, p.Now); at < math.MaxInt64 {
+			z := ""
+			if j.Spec.OneZone {
+				z = m.Zone
+			}
+			byZone[z] = append(byZone[z], slot{m, at})
+		}
+	}
+	var best []slot
+	var soonest int64 = math.MaxInt64
+	for _, z := range slices.Sorted(maps.Keys(byZone)) {
+		slots := byZone[z]
+		slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
+		left := j.Pending
+		for i, s := range slots {
+			if left -= max(1, s.m.Total.Times(j.Need)); left > 0 && (i < len(slots)-1 || j.Spec.OneZone) {
+				continue
+			}
+			if s.at < soonest {
+				best, soonest = slots[:i+1], s.at
+			}
+			break
+		}
+	}
+	return best, soonest
+}
+
+// reserve holds the machines freeing soonest for the top blocked job.
+func (p *planner) reserve(j *Job) {
+	set, at := p.soonestSet(j, func(m *Machine) bool {
+		_, taken := p.reserved[m]
+		return !m.Borrowable && !m.Foreign && (!taken || m.Promised != nil && m.Promised.Job == j)
+	})
+	if j.Spec.Kind == wire.Gang {
+		p.gangs++
+	}
+	for _, s := range set {
+		p.reserved[s.m] = at
+		p.resFor[s.m] = j
+	}
+}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,92 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"spurmoor/internal/settings"
+)
+
+// TestMoreWorkersThanSockets guards against workers that keep all connections
+// for themselves: a worker's is closed once answered while the listener is
+// crowded, so every one of them is answered, and health checks as well.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	free := func() string {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	away := free() // nobody listens there any more
+	raw := fmt.Sprintf(`{"node_name":"nodo-0","site":"a","public_addr":%q,"internal_addr":%q,"endpoints":{"cloud":%q,"state":%q},
+		"facts":{"nodes":1,"zones":["a"],"teams":[{"name":"x"}],
+		"workers":{"report_s":3,"lease_s":18,"gang_wait_s":45,"gang_peer_s":4,"cancel_s":48},
+		"state":{"rps":150,"write_rps":60,"value_kb":16,"txn_ops":48},"cloud":{"rps":2,"list_lag_s":10},
+		"machine_limits":{"cores":1,"mem_mb":98,"max_connections":120}}}`, free(), free(), away, away)
+	set, err := settings.Parse([]byte(raw), settings.Defaults())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	ask := func(request string) (net.Conn, *http.Response) {
+		conn, err := net.DialTimeout("tcp4", set.PublicAddr, 5*time.Second)
+		for tries := 0; err != nil && tries < 500; tries++ { // until it listens
+			conn, err = net.DialTimeout("tcp4", set.PublicAddr, 5*time.Second)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.WriteString(conn, request); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn, resp
+	}
+	kept := 0
+	for i := range 3 * set.Sockets.Public {
+		body := fmt.Sprintf(`{"Maquina":"n-%06d","Endpoint":"10.1.0.1:9000","Tipo":"g8","Zona":"a","Prestadas":false,"Jornada":1,"Folio":1,"Baston":0,"AvisoS":null,"Tareas":[]}`, i)
+		conn, resp := ask(fmt.Sprintf("POST /v1/report HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		text, _ := io.ReadAll(resp.Body)
+		if !strings.Contains(string(text), "the state service has not been read yet") {
+			t.Fatalf("worker %d is turned away: %d %s", i, resp.StatusCode, text)
+		}
+		if resp.Close {
+			conn.Close()
+			continue
+		}
+		kept++
+		defer conn.Close()
+	}
+	if kept < set.Sockets.Crowded/2 || kept > set.Sockets.Crowded+1 {
+		t.Errorf("%d connections of workers are kept, of %d that may be", kept, set.Sockets.Crowded)
+	}
+	conn, resp := ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	defer conn.Close()
+	if resp.StatusCode != 503 || resp.Close {
+		t.Errorf("the health check is answered %d, closed %t", resp.StatusCode, resp.Close)
+	}
+}
