Promises end where they are not used; kept log content never outgrows an entry

What can make it last was looked for and mended: - machines stayed promised to gangs of a part that did not act, without end: now for two minutes at a time, and to none whose part nobody holds; - a controller took another's machine for free while it was still booting; - what an entry of the log alone still holds may be broken up into twice as many runs; if it outgrew an entry the part's flush would be refused for ever.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -236,7 +236,7 @@
 			}
 			continue
 		}
-		if len(f.req.Then)+2 >= most || len(f.req.If)+2 > conds/2 {
+		if len(f.req.Then)+2+min(2, most-2) > most || len(f.req.If)+2 > conds/2 {
 			continue
 		}
 		rec := finalRecord{State: wire.Done, Done: j.nDone}
@@ -255,8 +255,8 @@
 		b.ops()
 		b.tasks(ids)
 	}
-	if len(f.finals) == 0 && len(f.ops) == 0 && len(f.fresh) == 0 && len(f.tasks) == 0 {
-		return nil
+	if b.full || len(f.finals) == 0 && len(f.ops) == 0 && len(f.fresh) == 0 && len(f.tasks) == 0 {
+		return nil // where it is full, finals and budget leave more room next time
 	}
 	for _, e := range f.entries {
 		f.req.Then = append(f.req.Then, wire.Write{Put: slotKey(p.idx, e.slot), Value: mustJSON(logRecord{e.seq, e.runs, e.rows})})
@@ -278,6 +278,7 @@
 	slots int // new ones taken
 	kept  int // bytes written anew into the last entry
 	seen  map[*task]bool
+	full  bool // what must be written anew does not fit
 }
 
 // open begins an entry: in a new slot while the log is short or so full that
@@ -302,9 +303,13 @@
 		old := b.p.log[reused]
 		e.slot = old.slot
 		b.f.entries = append(b.f.entries, e)
-		b.keep(old)
+		if !b.keep(old) {
+			b.full = true
+			return false
+		}
 	}
 	if k == 0 {
+		e := b.f.entries[0]
 		for _, o := range b.p.log {
 			if o.slot == e.slot {
 				b.f.was = o.ver
@@ -326,20 +331,24 @@
 	return true
 }
 
-// keep writes anew what an entry alone still holds. It always fits: an entry
-// is no larger than another.
-func (b *builder) keep(old entry) {
+// keep writes anew what an entry alone still holds; what does not fit beside it
+// goes into a new slot. Of a run of tasks every second may be left, in as many
+// runs: such an entry was too large for the state service once it was full.
+func (b *builder) keep(old entry) bool {
 	c, p := b.c, b.p
-	last := &b.f.entries[len(b.f.entries)-1]
+	fits := func(n int) bool { return b.f.size+n <= b.limit || b.open(true) }
 	for _, r := range old.rows {
 		here := origin{r.Epoch, p.idx, old.seq}
 		if m := c.machines[r.Name]; m != nil && m.from == here {
-			last.rows = append(last.rows, m.rec)
-			b.f.size += r.size()
-		} else if t, ok := c.tombs[r.Name]; ok && t == here && c.rows[r.Name] > 1 {
-			last.rows = append(last.rows, r)
-			b.f.size += r.size()
+			r = m.rec
+		} else if t, ok := c.tombs[r.Name]; !ok || t != here || c.rows[r.Name] <= 1 {
+			continue
 		}
+		if !fits(r.size()) {
+			return false
+		}
+		b.row(r)
+		b.f.size += r.size()
 	}
 	for _, r := range old.runs {
 		j := c.jobs[r.Job]
@@ -352,11 +361,15 @@
 				if t.changed {
 					gen-- // what it became since is still to be committed
 				}
+				if !fits(runBytes + len(j.id) + len(t.kept.machine)) {
+					return false
+				}
 				b.add(sentTask{j, n, gen, t.kept, 0})
 			}
 		}
 	}
 	b.kept = b.f.size
+	return true
 }
 
 // add logs a task in the last entry, joined to the run before if it is like it.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -195,7 +195,7 @@
 			ended++
 		}
 	}
-	if !forget && ended >= keepEnded {
+	if !forget && ended >= keepEnded && !m.busy() {
 		m.doubt = true
 	}
 	for _, tr := range r.Tasks {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -134,7 +134,10 @@
 	spoiled  bool // a task of this attempt of the gang has exited
 	holdOff  int64
 	backOff  int64
-	zones    map[string]int
+	// promisedAt is since when machines are promised to it; unpromised, until
+	// when none are any more, for it did not begin.
+	promisedAt, unpromised int64
+	zones                  map[string]int
 }
 
 // origin says which row of which log told the latest of a machine.
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -50,7 +50,15 @@
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
 		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.nPlaced+j.nDone > 0 || c.now < j.at+secs(c.set.Ops.BeginWithinS/4) ||
-			c.outOfTurn(j) || c.now < j.holdOff {
+			c.outOfTurn(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
+			continue
+		}
+		if j.promisedAt > 0 && c.now > j.promisedAt+secs(c.set.Ops.BeginWithinS/2) {
+			// Something that we do not know keeps it: others' turn for a while,
+			// else machines would be held for it without end.
+			j.promisedAt, j.unpromised = 0, c.now+secs(c.set.Ops.BeginWithinS/4)
+		}
+		if c.now < j.unpromised {
 			continue
 		}
 		sj := c.shown(j)
@@ -66,12 +74,25 @@
 			continue
 		}
 		sm := c.shownMachine(m)
-		sm.Usable = m.upAt > 0 || c.ours(m) == nil
+		// Whether another's machine is up is not in the mirror: by its age.
+		sm.Usable = m.upAt > 0 || c.ours(m) == nil && (len(m.on) > 0 || c.now > m.bornAt+secs(1.5*m.typ.BootS))
 		sm.ReadyAt = max(c.now, m.bornAt+secs(m.typ.BootS))
 		c.uses(sm, m, nil)
 		list = append(list, sm)
 	}
 	c.promised = sched.Promise(c.now, c.now-secs(c.set.Ops.BeginWithinS/2), list, due)
+	kept := map[string]bool{}
+	for _, pr := range c.promised {
+		kept[pr.Job.ID] = true
+		if j := c.jobs[pr.Job.ID]; j.promisedAt == 0 {
+			j.promisedAt = c.now
+		}
+	}
+	for _, sj := range due {
+		if !kept[sj.ID] {
+			c.jobs[sj.ID].promisedAt = 0
+		}
+	}
 }
 
 // promisedTo is the part whose gang a machine is kept for; -1: none.
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -25,7 +25,8 @@
 	CancelS       float64    `toml:"cancel_s"`
 	ReportS       float64    `toml:"report_s"`
 	TxnOps        int        `toml:"txn_ops"`
-	RPS           float64    `toml:"rps"`          // requests a second that the state service admits
+	RPS           float64    `toml:"rps"` // requests a second that the state service admits
+	ValueKB       float64    `toml:"value_kb"`
 	WriteRPS      float64    `toml:"write_rps"`    // changes a second
 	Lost          float64    `toml:"lost"`         // share of the state service's answers that never arrive
 	Late          float64    `toml:"late"`         // share of requests to it carried out seconds late
@@ -124,7 +125,7 @@
 
 // Parse reads a scenario.
 func Parse(text []byte) (*Scenario, error) {
-	s := &Scenario{Seed: 1, DurationS: 300, LeaseS: 20, CancelS: 45, ReportS: 3, TxnOps: 12, RPS: 200, WriteRPS: 60, Connections: 1000}
+	s := &Scenario{Seed: 1, DurationS: 300, LeaseS: 20, CancelS: 45, ReportS: 3, TxnOps: 12, RPS: 200, WriteRPS: 60, ValueKB: 8, Connections: 1000}
 	dec := toml.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(s); err != nil {
@@ -222,7 +223,7 @@
 	}
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = s.ReportS, s.LeaseS, s.CancelS
 	f.Workers.GangWaitS, f.Workers.GangPeerS = 40, 4
-	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = s.RPS, s.WriteRPS, 8, s.TxnOps
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = s.RPS, s.WriteRPS, s.ValueKB, s.TxnOps
 	f.Cloud.RPS, f.Cloud.ListLagS = 6, 5
 	f.Limits.Cores, f.Limits.MemMB, f.Limits.MaxConnections = 0.2, 100, s.Connections
 	raw, err := json.Marshal(p)
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -252,7 +252,7 @@
 		if x.Lease != 0 && s.leases[x.Lease] == nil {
 			r.Status, r.Txn.Error = 400, "no such lease"
 		}
-		if len(x.Value) > 8<<10 {
+		if float64(len(x.Value)) > s.w.sc.ValueKB*1024 {
 			s.w.check.breaks("store_limits", fmt.Sprintf("%s has %d bytes", x.Put, len(x.Value)))
 		}
 	}
