--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,6 +47,7 @@
 	pushes  chan struct{}
 	garbage atomic.Uint64
 	open    func() int32 // public connections now
+	crowded atomic.Bool  // they were too many once
 	start   time.Time
 }
 
@@ -324,6 +325,9 @@
 			// A worker asks again within seconds; users must find room, and so
 			// must more workers than there are sockets.
 			ctx.SetConnectionClose()
+			if !s.crowded.Swap(true) {
+				s.log.Warn("sockets are short: workers' connections last for one report", "open", s.open(), "max_connections", s.set.Facts.Limits.MaxConnections)
+			}
 		}
 		handle = func(req uint64) any { return core.ReportIn{Req: req, Report: r} }
 	case strings.HasPrefix(path, "/why/"):
--- a/internal/settings/sockets_test.go
+++ b/internal/settings/sockets_test.go
@@ -22,5 +22,10 @@
 		if k.Crowded < c.machines*3/4 || k.Public-k.Crowded < 3 || k.Lease < 2 || k.Pushes < 8 {
 			t.Errorf("%d sockets, %d machines: %+v", c.most, c.machines, k)
 		}
+		// Too few of them are no reason not to start, but are said.
+		s.Facts.Limits.MemMB = 186
+		if said := len(s.Sound()); said != 0 && c.most >= 200 || said == 0 && c.most < 200 {
+			t.Errorf("%d sockets: %d warnings", c.most, said)
+		}
 	}
 }
