--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -53,10 +53,10 @@
 			c.outOfTurn(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
 			continue
 		}
-		if j.promisedAt > 0 && c.now > j.promisedAt+secs(c.set.Ops.BeginWithinS/2) {
-			// Something that we do not know keeps it: others' turn for a while,
+		if j.promisedAt > 0 && c.now > j.promisedAt+secs(c.set.Ops.BeginWithinS) {
+			// Something that we do not know keeps it: others' turn for as long,
 			// else machines would be held for it without end.
-			j.promisedAt, j.unpromised = 0, c.now+secs(c.set.Ops.BeginWithinS/4)
+			j.promisedAt, j.unpromised = 0, c.now+secs(c.set.Ops.BeginWithinS)
 		}
 		if c.now < j.unpromised {
 			continue
