--- a/cmd/spurmoor/main.go
+++ b/cmd/spurmoor/main.go
@@ -8,18 +8,31 @@
 	"io"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
+	"spurmoor/internal/core"
 	"spurmoor/internal/server"
 	"spurmoor/internal/settings"
 )
 
-// version is set by the build where it is known.
-var version = "dev"
+// build names the commit that this was built from, where the build knows it.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return " " + s.Value[:min(12, len(s.Value))]
+		}
+	}
+	return ""
+}
 
 // Exit codes.
 const (
@@ -64,6 +77,7 @@
 	cmd := &cobra.Command{
 		Use: "spurmoor", Short: "A cluster scheduler's controller",
 		Long:          "With --config, runs a controller until it is killed. LOG_LEVEL is error, info or debug.",
+		Version:       core.Version + build(),
 		SilenceErrors: true, SilenceUsage: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			set, err := load()
@@ -99,7 +113,7 @@
 		},
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "spurmoor", version) },
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "spurmoor", core.Version+build()) },
 	})
 	cmd.AddCommand(clients()...)
 	return cmd
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -58,6 +58,7 @@
 	c.deleting = true
 	c.callCloud(CloudCall{Op: OpDelete, Names: names}, func(r *CloudReply) {
 		c.deleting = false
+		c.cloudBad = c.now + Second // more come meanwhile: one call for them
 		for _, name := range names {
 			m := c.machines[name]
 			if m == nil {
@@ -220,7 +221,7 @@
 				c.early(Second / 5)
 			}
 			// As many at a time as leave room in an entry of the log.
-			for names := range slices.Chunk(r.Names, max(1, int(c.set.Facts.State.ValueKB*400/(2*rowBytes)))) {
+			for names := range slices.Chunk(r.Names, max(1, c.maxValue()/3/rowBytes)) {
 				var rows []machineRow
 				for _, name := range names {
 					rows = append(rows, machineRow{Name: name, Type: k.Type, Zone: k.Zone, Spot: k.Spot, Home: p.idx, Cur: p.idx, At: c.now})
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/go-json-experiment/json"
 
@@ -18,8 +19,11 @@
 	out    bool
 	tries  int
 	settle bool // refused: the mirror is to be read before it fails
+	bad    bool // refused as malformed: too large, perhaps
+	sure   bool // no copy of it can have been carried out
 	ok     func(rev uint64)
 	failed func()
+	anew   func() // nil: it is repeated as it is
 }
 
 func (c *Core) sendTxn(t *txn) {
@@ -39,12 +43,18 @@
 			// the mirror tells, once it is newer than this refusal.
 			if r.Status == 400 {
 				c.log(8, "transaction malformed", "error", r.Txn.Error)
+				t.bad = true
 			}
 			c.log(-4, "transaction refused", "status", r.Status, "failed", r.Txn.Failed)
 			t.settle = true
 			c.settle(t)
+		case t.anew != nil && t.sure && (r.Status == 429 || r.Status == 503):
+			// Not carried out, for certain: what has come since goes along.
+			t.over = true
+			t.anew()
 		default:
 			// Unknown, or not carried out: the same again.
+			t.sure = t.sure && (r.Status == 429 || r.Status == 503)
 			t.next = c.now + c.jitter(min(Second, Second/8<<min(t.tries, 4)))
 		}
 	})
@@ -150,15 +160,32 @@
 	then  func()
 }
 
-// Sizes of what is written. A log has at least so many slots.
+// Sizes of what is written. A log has at least so many slots, and so many that
+// what is written anew fills a quarter of an entry.
 const (
 	maxTxnBytes = 40 << 10
 	minSlots    = 64
-	runBytes    = 60 // a run without its names
-	rowBytes    = 110
+	entryBytes  = 60  // an entry without its runs and rows
+	rowBytes    = 160 // a row, at the most, without its names
+	keptShare   = 4
 )
 
-func (r machineRow) size() int { return rowBytes + len(r.Name) + len(r.Type) + len(r.Zone) }
+// size is how many bytes a row takes in an entry.
+func (r machineRow) size() int { return len(mustJSON(r)) + 1 }
+
+// size is how many bytes a run takes in an entry.
+func (r run) size() int {
+	n := len(`{"j":""},`) + len(r.Job)
+	for _, v := range []uint64{uint64(r.From), uint64(r.N), uint64(r.State), r.Attempt} {
+		if v > 0 {
+			n += len(`,"f":`) + len(strconv.FormatUint(v, 10))
+		}
+	}
+	if r.Machine != "" {
+		n += len(`,"m":""`) + len(r.Machine)
+	}
+	return n
+}
 
 // budget is how many changes a controller may make: a share of what the
 // state service admits, by the parts held. Users' accepts and cancellations
@@ -218,11 +245,13 @@
 // their users wait, then machines, then tasks, of which a flush may hold
 // thousands.
 func (c *Core) build(p *part, most int) *flush {
-	f := &flush{txn: &txn{}}
+	f := &flush{txn: &txn{sure: true}}
+	most = max(3, most>>p.tight)
 	conds := 4 * c.set.Facts.State.TxnOps
 	guard := func(key string, ver uint64) { f.req.If = append(f.req.If, wire.Guard{Key: key, Version: ver}) }
 	guard(p.key(), p.ver)
 	ids := sorted(p.dirty)
+	var ends []*job
 	for _, id := range ids {
 		j := c.jobs[id]
 		if j == nil || j.over {
@@ -236,10 +265,18 @@
 			}
 			continue
 		}
+		if j.endedAt == 0 {
+			j.endedAt = c.now
+		}
+		ends = append(ends, j)
+	}
+	slices.SortStableFunc(ends, c.compareEnds)
+	for _, j := range ends {
+		id := j.id
 		if len(f.req.Then)+2+min(2, most-2) > most || len(f.req.If)+2 > conds/2 {
 			continue
 		}
-		rec := finalRecord{State: wire.Done, Done: j.nDone}
+		rec := finalRecord{State: wire.Done, Done: j.nDone, At: j.endedAt}
 		if j.cancelled {
 			rec.State = wire.Cancelled
 		}
@@ -247,25 +284,44 @@
 		f.req.Then = append(f.req.Then, wire.Write{Put: overKey + id, Value: mustJSON(rec)}, wire.Write{Delete: jobKey + id})
 		f.finals, f.states = append(f.finals, j), append(f.states, rec)
 	}
-	b := &builder{c: c, p: p, f: f, guard: guard, conds: conds, limit: min(maxTxnBytes/2, int(c.set.Facts.State.ValueKB*1000)-400)}
+	limit := min(maxTxnBytes/2, c.maxValue()-entryBytes) >> p.tight
+	b := &builder{c: c, p: p, f: f, guard: guard, conds: conds, limit: limit, seen: map[*task]bool{}}
 	b.most = min(most-len(f.req.Then), maxTxnBytes/b.limit)
-	b.seen = map[*task]bool{}
-	if b.open(false) {
+	if b.open() {
 		b.fresh()
 		b.ops()
 		b.tasks(ids)
 	}
-	if b.full || len(f.finals) == 0 && len(f.ops) == 0 && len(f.fresh) == 0 && len(f.tasks) == 0 {
-		return nil // where it is full, finals and budget leave more room next time
+	if len(f.finals) == 0 && len(f.ops) == 0 && len(f.fresh) == 0 && len(f.tasks) == 0 {
+		return nil
 	}
 	for _, e := range f.entries {
 		f.req.Then = append(f.req.Then, wire.Write{Put: slotKey(p.idx, e.slot), Value: mustJSON(logRecord{e.seq, e.runs, e.rows})})
 	}
 	f.ok = func(rev uint64) { c.flushed(p, rev) }
 	f.failed = func() { c.unflushed(p) }
+	f.anew = func() {
+		p.flush, p.flushAt = nil, c.now+c.jitter(Second/4)
+	}
 	return f
 }
 
+// compareEnds orders final states: first of jobs that others wait for, then of
+// those done, in the order of their ends. In the order of their names the last
+// once waited for a hundred seconds.
+func (c *Core) compareEnds(a, b *job) int {
+	class := func(j *job) int {
+		switch {
+		case j.cancelled:
+			return 2 // told without it
+		case c.needs[j.id] != nil:
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.endedAt, b.endedAt))
+}
+
 // builder fills the log entries of a flush.
 type builder struct {
 	c     *Core
@@ -276,15 +332,17 @@
 	limit int // bytes of an entry
 	most  int // entries
 	slots int // new ones taken
-	kept  int // bytes written anew into the last entry
+	grow  bool
 	seen  map[*task]bool
-	full  bool // what must be written anew does not fit
 }
 
-// open begins an entry: in a new slot while the log is short or so full that
-// what is written anew leaves little room, else in the oldest entry's, whose
-// rows and runs that still hold go into it first.
-func (b *builder) open(grow bool) bool {
+// open begins an entry: in the oldest one's slot, with the rows and runs that
+// only that still holds written anew in it first; or in a new slot, while the
+// log is short or so full that what is written anew leaves little room. Where
+// the oldest holds more than an entry may have now, for it was written when more
+// was admitted, or its runs were broken up, part of that goes into a new slot:
+// some flushes later the rest fits, and the log never stands still.
+func (b *builder) open() bool {
 	k := len(b.f.entries)
 	if k >= b.most {
 		return false
@@ -294,22 +352,26 @@
 		e.seq = b.p.log[n-1].seq + 1 + uint64(k)
 	}
 	reused := k - b.slots
-	b.f.size, b.kept = 30, 0
-	if grow || len(b.p.log)-reused < minSlots {
-		e.slot = len(b.p.log) + b.slots
-		b.slots++
-		b.f.entries = append(b.f.entries, e)
-	} else {
+	b.f.size = 0
+	var rows []machineRow
+	var tasks []sentTask
+	fresh := b.grow || len(b.p.log)-reused < minSlots
+	if !fresh {
 		old := b.p.log[reused]
-		e.slot = old.slot
-		b.f.entries = append(b.f.entries, e)
-		if !b.keep(old) {
-			b.full = true
-			return false
+		size := 0
+		if rows, tasks, size = b.held(old); size > b.limit {
+			fresh, b.grow = true, true
+		} else {
+			e.slot = old.slot
+			b.grow = size > b.limit/keptShare
 		}
 	}
+	if fresh {
+		e.slot = len(b.p.log) + b.slots
+		b.slots++
+	}
+	b.f.entries = append(b.f.entries, e)
 	if k == 0 {
-		e := b.f.entries[0]
 		for _, o := range b.p.log {
 			if o.slot == e.slot {
 				b.f.was = o.ver
@@ -317,26 +379,39 @@
 		}
 		b.guard(slotKey(b.p.idx, e.slot), b.f.was)
 	}
+	for _, r := range rows {
+		if b.f.size+r.size() > b.limit {
+			return true
+		}
+		b.row(r)
+	}
+	for _, s := range tasks {
+		if b.f.size+b.sizeOf(s) > b.limit {
+			return true
+		}
+		b.seen[s.j.touch(s.n)] = true
+		b.add(s)
+	}
 	return true
 }
 
 // room has room for so many bytes, in a new entry if need be.
 func (b *builder) room(n int) bool {
 	for b.f.size+n > b.limit {
-		if !b.open(b.kept > b.limit/2) {
+		if b.f.size == 0 || !b.open() {
 			return false
 		}
 	}
-	b.f.size += n
 	return true
 }
 
-// keep writes anew what an entry alone still holds; what does not fit beside it
-// goes into a new slot. Of a run of tasks every second may be left, in as many
-// runs: such an entry was too large for the state service once it was full.
-func (b *builder) keep(old entry) bool {
+// held is what an entry alone still holds, and how many bytes that is. Of a run
+// of tasks every second may be left, in as many runs.
+func (b *builder) held(old entry) ([]machineRow, []sentTask, int) {
 	c, p := b.c, b.p
-	fits := func(n int) bool { return b.f.size+n <= b.limit || b.open(true) }
+	var rows []machineRow
+	var tasks []sentTask
+	size := 0
 	for _, r := range old.rows {
 		here := origin{r.Epoch, p.idx, old.seq}
 		if m := c.machines[r.Name]; m != nil && m.from == here {
@@ -344,53 +419,72 @@
 		} else if t, ok := c.tombs[r.Name]; !ok || t != here || c.rows[r.Name] <= 1 {
 			continue
 		}
-		if !fits(r.size()) {
-			return false
-		}
-		b.row(r)
-		b.f.size += r.size()
+		size += r.size()
+		rows = append(rows, r)
 	}
+	last := run{}
 	for _, r := range old.runs {
 		j := c.jobs[r.Job]
 		if j == nil || j.over || slices.Contains(b.f.finals, j) {
 			continue
 		}
 		for n := r.From; n < r.From+r.count() && n < j.spec.Tasks; n++ {
-			if t := j.touch(n); t.logged == old.seq && !b.seen[t] {
-				gen := t.gen
-				if t.changed {
-					gen-- // what it became since is still to be committed
-				}
-				if !fits(runBytes + len(j.id) + len(t.kept.machine)) {
-					return false
-				}
-				b.add(sentTask{j, n, gen, t.kept, 0})
+			t := j.touch(n)
+			if t.logged != old.seq || b.seen[t] {
+				continue
+			}
+			gen := t.gen
+			if t.changed {
+				gen-- // what it became since is still to be committed
+			}
+			s := sentTask{j, n, gen, t.kept, 0}
+			tasks = append(tasks, s)
+			before := last.size()
+			if s.joins(last) {
+				last.N = last.count() + 1
+				size += last.size() - before
+			} else {
+				last = s.run()
+				size += last.size()
 			}
 		}
 	}
-	b.kept = b.f.size
-	return true
+	return rows, tasks, size
+}
+
+// run gives a task as a run of one.
+func (s sentTask) run() run {
+	return run{Job: s.j.id, From: s.n, State: s.s.state, Attempt: s.s.attempt, Machine: s.s.machine}
+}
+
+// joins tells whether a task makes a run one longer.
+func (s sentTask) joins(r run) bool {
+	return r.Job == s.j.id && r.From+r.count() == s.n && (standing{r.State, r.Attempt, r.Machine}) == s.s
 }
 
+// sizeOf is how many bytes a task takes at the most.
+func (b *builder) sizeOf(s sentTask) int { return s.run().size() }
+
 // add logs a task in the last entry, joined to the run before if it is like it.
 func (b *builder) add(s sentTask) {
 	last := &b.f.entries[len(b.f.entries)-1]
 	s.seq = last.seq
 	b.f.tasks = append(b.f.tasks, s)
-	if k := len(last.runs) - 1; k >= 0 {
+	if k := len(last.runs) - 1; k >= 0 && s.joins(last.runs[k]) {
 		r := &last.runs[k]
-		if r.Job == s.j.id && r.From+r.count() == s.n && (standing{r.State, r.Attempt, r.Machine}) == s.s {
-			r.N = r.count() + 1
-			return
-		}
+		b.f.size -= r.size()
+		r.N = r.count() + 1
+		b.f.size += r.size()
+		return
 	}
-	b.f.size += runBytes + len(s.j.id) + len(s.s.machine)
-	last.runs = append(last.runs, run{Job: s.j.id, From: s.n, State: s.s.state, Attempt: s.s.attempt, Machine: s.s.machine})
+	b.f.size += s.run().size()
+	last.runs = append(last.runs, s.run())
 }
 
 func (b *builder) row(r machineRow) {
 	last := &b.f.entries[len(b.f.entries)-1]
 	last.rows = append(last.rows, r)
+	b.f.size += r.size()
 }
 
 // fresh records machines rented and adopted. Adoptions and rentals exclude
@@ -420,8 +514,9 @@
 			}
 		}
 		size := 0
-		for _, r := range n.rows {
-			size += r.size()
+		for i := range n.rows {
+			n.rows[i].Epoch = c.tombs[n.rows[i].Name].epoch + 1
+			size += n.rows[i].size()
 		}
 		if !b.room(size) {
 			break
@@ -430,7 +525,6 @@
 			b.guard(adoptKey, c.adoptVer)
 		}
 		for _, r := range n.rows {
-			r.Epoch = c.tombs[r.Name].epoch + 1
 			b.row(r)
 		}
 		b.f.fresh = append(b.f.fresh, n)
@@ -448,9 +542,6 @@
 	clear(b.p.ops[len(left):])
 	b.p.ops = left
 	for _, m := range left {
-		if !b.room(m.rec.size()) {
-			return
-		}
 		r := m.rec
 		switch m.op {
 		case opGone:
@@ -463,6 +554,9 @@
 			r.Cur, r.Token = m.opTo, 0
 			r.Epoch++
 		}
+		if !b.room(r.size()) {
+			return
+		}
 		b.row(r)
 		b.f.ops = append(b.f.ops, sentOp{m, m.op})
 	}
@@ -490,13 +584,12 @@
 					guarded = true
 					b.guard(jobKey+id, j.ver)
 				}
-				n := runBytes + len(id) + len(t.machine)
-				if !b.room(n) {
+				s := sentTask{j, k*chunkSize + i, t.gen, t.standing, 0}
+				if !b.room(b.sizeOf(s)) {
 					return
 				}
-				b.f.size -= n // add counts it, unless it joins the run before
 				b.seen[t] = true
-				b.add(sentTask{j, k*chunkSize + i, t.gen, t.standing, 0})
+				b.add(s)
 			}
 		}
 	}
@@ -546,6 +639,7 @@
 		j.over = true
 		delete(p.dirty, j.id)
 		c.finals.add(j.id, f.states[i])
+		c.learn(j.id, f.states[i].outcome(), f.states[i].At)
 		c.info("job over", "job", j.id, "state", f.states[i].State, "after_s", (c.now-j.at)/Second)
 	}
 	p.fresh = slices.DeleteFunc(p.fresh, func(n *newMachines) bool {
@@ -570,6 +664,10 @@
 		}
 		return n.adopt
 	})
+	if p.flush.bad {
+		// Less is admitted than we were told: never the same again.
+		p.tight = min(p.tight+1, 3)
+	}
 	p.flush = nil
 }
 
@@ -580,6 +678,9 @@
 	p.ops = append(p.ops, m)
 }
 
+// maxValue is the longest value written, in bytes.
+func (c *Core) maxValue() int { return int(c.set.Facts.State.ValueKB * 1000) }
+
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -177,6 +177,11 @@
 	rows     map[string]int    // how many entries of all logs name a machine
 	adoptVer uint64
 	jobs     map[string]*job
+	needs    map[string]*need
+	unsure   []string // of the needs those whose final records are to be read
+	unsureAt int64    // not before
+	asking   int      // final records being read for needs
+	urgent   map[string]urgency
 	finals   *finals
 	fresh    []func(ok bool) // wait for a read begun after they asked
 	reading  bool
@@ -224,6 +229,9 @@
 	promised  map[string]sched.Promised // machines kept for gangs that are due
 
 	hellos    map[string]*heard
+	forms     map[string]int // by controller, the form that it is known to read
+	formAt    int64
+	formed    bool // all read ours; said so
 	helloAt   int64
 	asks      []peer.Ask
 	stepBack  int64 // takes no part before this
@@ -240,6 +248,7 @@
 	at      int64
 	storeOK bool
 	idle    map[string]bool
+	form    int
 }
 
 // New makes a controller. inc tells this process from earlier ones of the
@@ -248,7 +257,7 @@
 	c := &Core{
 		set: set, rng: rng, inc: inc,
 		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
-		machines: map[string]*machine{}, jobs: map[string]*job{}, tombs: map[string]origin{}, rows: map[string]int{},
+		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*need{}, forms: map[string]int{}, tombs: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
 		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, listed: map[string]*listedMachine{},
 		typeOf: map[string]*wire.MachineType{}, hellos: map[string]*heard{}, why: map[string]string{},
@@ -300,11 +309,13 @@
 func (c *Core) housekeep() {
 	c.keepMirror()
 	c.keepLease()
+	c.keepNeeds()
 	c.flushes()
 	if c.now < c.tickAt {
 		return
 	}
 	c.tickAt = c.now + Second/10
+	c.keepForm()
 	c.keepParts()
 	c.keepMachines()
 	c.probe()
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -666,7 +666,7 @@
 	}
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
-		if wire.Tier(j.spec.Priority) < wire.Tier(pr.Job.Spec.Priority) {
+		if c.tier(j) < pr.Job.Tier {
 			c.leave(j, j.task(id.n), "the machine is kept for "+pr.Job.ID)
 		}
 	}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -23,6 +23,7 @@
 	jobKey   = Live + "j/" // one for each unfinished job
 	logKey   = Live + "l/" // PART/SLOT: a part's log of tasks and machines
 	partKey  = Live + "p/"
+	formKey  = Live + "v/" // NODE: the form that its controllers read and write
 	overKey  = "over/"
 )
 
@@ -38,11 +39,13 @@
 	Spec      wire.Job `json:"j"`
 	At        int64    `json:"a"`
 	Cancelled bool     `json:"x,omitzero"`
+	Packed    []byte   `json:"w,omitzero"` // what the job needs, where the list would be too long
 }
 
 type finalRecord struct {
 	State string `json:"s"`
 	Done  int    `json:"n"`
+	At    int64  `json:"t,omitzero"` // when; 0: written by the first versions
 }
 
 // logRecord is one entry of a part's log: tasks and machines as they became
@@ -118,7 +121,7 @@
 	spec      wire.Job
 	need      sched.Res
 	at        int64
-	cancelled bool
+	cancelled bool // its user or, doomed, that of a job that it needs did
 	ver       uint64
 	part      int
 	chunks    map[int][]task
@@ -127,6 +130,14 @@
 	nChanged  int  // tasks to commit
 	over      bool // its final state is committed, the mirror not there yet
 
+	needs  []string // jobs that must be done first
+	open   int      // of those not done, or not known to be
+	unsure int      // of those over, it is not known how
+	needed int64    // when the last of them was done
+	doomed bool     // one of them is withdrawn
+
+	endedAt int64 // when its final state was first due
+
 	placing  bool            // a gang whose start is being committed
 	avoid    map[string]bool // machines that it failed on
 	suspect  bool            // fails wherever it runs
@@ -335,7 +346,7 @@
 			c.reset()
 			// Parts last: a log is applied as long as its part is not ours. Its
 			// slots come in no order: rows and runs say which is later.
-			for _, prefix := range []string{adoptKey, typesKey, jobKey, logKey, partKey} {
+			for _, prefix := range []string{adoptKey, typesKey, formKey, jobKey, logKey, partKey} {
 				for _, it := range l.items {
 					if strings.HasPrefix(it.Key, prefix) {
 						c.apply(it.Key, it.Value, it.Version)
@@ -365,6 +376,8 @@
 	}
 	clear(c.machines)
 	clear(c.jobs)
+	clear(c.needs)
+	c.unsure = nil
 	clear(c.tombs)
 	clear(c.rows)
 	c.order = nil
@@ -384,6 +397,11 @@
 		return false
 	}
 	for _, e := range r.Follow.Events {
+		if e.Version <= c.rev {
+			// Of two answers that overtook each other the older says nothing
+			// new: it once brought back a job that was over.
+			continue
+		}
 		if e.Delete != "" {
 			c.drop(e.Delete, e.Version)
 		} else {
@@ -451,9 +469,24 @@
 			c.jobs[id] = j
 			c.log(-4, "job seen", "job", id, "kind", rec.Spec.Kind, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "part", j.part)
 		}
-		j.spec, j.at, j.cancelled, j.ver = rec.Spec, rec.At, rec.Cancelled, ver
+		was := j.cancelled
+		j.spec, j.at, j.cancelled, j.ver = rec.Spec, rec.At, rec.Cancelled || j.doomed, ver
+		if j.needs == nil && !rec.Cancelled {
+			j.needs = rec.needs()
+			c.link(j)
+		}
+		if j.cancelled && !was {
+			c.learn(id, withdrawn, 0)
+		}
 		c.mark(j)
 		c.early(Second / 20)
+	case strings.HasPrefix(key, formKey):
+		var rec formRecord
+		if err := json.Unmarshal(value, &rec); err != nil {
+			bad(err)
+			return
+		}
+		c.noteForm(key[len(formKey):], rec.Form)
 	case strings.HasPrefix(key, logKey):
 		p, slot := c.parseSlot(key)
 		if p == nil {
@@ -585,8 +618,16 @@
 					c.assign(j, n*chunkSize+i, standing{})
 				}
 			}
+			rec, sure := c.final(j)
 			delete(c.jobs, j.id)
 			delete(c.parts[j.part].dirty, j.id)
+			c.unlink(j)
+			if sure {
+				c.finals.add(j.id, rec)
+				c.learn(j.id, rec.outcome(), rec.At)
+			} else {
+				c.learn(j.id, unsure, 0)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/needs.go
@@ -0,0 +1,395 @@
+package core
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strconv"
+
+	"github.com/go-json-experiment/json"
+
+	"spurmoor/internal/sched"
+	"spurmoor/internal/wire"
+)
+
+// Jobs that wait for jobs. Whether a job may start, or is withdrawn with one
+// that it needs, follows from the state service alone: every controller works
+// it out from the mirror, so nobody has to be told and a take-over changes
+// nothing. A need whose key is gone was done or withdrawn; which of the two, the
+// order of the changes says, or its final record.
+
+// outcome is what became of a job that others need.
+type outcome uint8
+
+const (
+	unsure    outcome = iota // over; its final record is being read
+	live                     // neither
+	ended                    // done
+	withdrawn                // cancelled, or needs one that is
+)
+
+// need is a job that unfinished others need.
+type need struct {
+	outcome
+	at int64 // when it was done
+	by []*job
+}
+
+// maxReads bounds the final records being read at a time for needs.
+const maxReads = 32
+
+// link notes what a job needs.
+func (c *Core) link(j *job) {
+	for _, id := range j.needs {
+		n := c.needs[id]
+		if n == nil {
+			n = &need{}
+			if n.outcome, n.at = c.known(id); n.outcome == unsure {
+				c.unsure = append(c.unsure, id)
+			}
+			c.needs[id] = n
+		}
+		n.by = append(n.by, j)
+	}
+	c.review(j)
+}
+
+// unlink forgets what a job that is over needed.
+func (c *Core) unlink(j *job) {
+	for _, id := range j.needs {
+		n := c.needs[id]
+		if n == nil {
+			continue
+		}
+		if n.by = slices.DeleteFunc(n.by, func(o *job) bool { return o == j }); len(n.by) == 0 {
+			delete(c.needs, id)
+		}
+	}
+}
+
+// known tells what became of a job, as far as no read is needed for it.
+func (c *Core) known(id string) (outcome, int64) {
+	if rec, ok := c.finals.state[id]; ok {
+		return rec.outcome(), rec.At
+	}
+	switch j := c.jobs[id]; {
+	case j == nil:
+		return unsure, 0
+	case j.cancelled:
+		return withdrawn, 0
+	}
+	return live, 0
+}
+
+func (r finalRecord) outcome() outcome {
+	if r.State == wire.Done {
+		return ended
+	}
+	return withdrawn
+}
+
+// learn takes in what became of a job, and what follows for those that need it.
+func (c *Core) learn(id string, o outcome, at int64) {
+	n := c.needs[id]
+	if n == nil || n.outcome == o || n.outcome >= ended {
+		return
+	}
+	if n.outcome, n.at = o, at; o == unsure {
+		c.unsure = append(c.unsure, id)
+	}
+	for _, j := range n.by {
+		c.review(j)
+	}
+}
+
+// review works out anew whether a job must wait, and whether it is withdrawn.
+func (c *Core) review(j *job) {
+	had := j.open
+	j.open, j.unsure, j.needed = 0, 0, 0
+	for _, id := range j.needs {
+		switch n := c.needs[id]; n.outcome {
+		case ended:
+			j.needed = max(j.needed, n.at)
+			continue
+		case unsure:
+			j.unsure++
+		case withdrawn:
+			j.doomed = true
+		}
+		j.open++
+	}
+	if had > 0 && j.open == 0 {
+		c.log(-4, "all that the job needs is done", "job", j.id, "after_s", (c.now-j.at)/Second)
+		c.early(0)
+	}
+	if j.doomed && !j.cancelled {
+		j.cancelled = true
+		c.log(-4, "job withdrawn with one that it needs", "job", j.id)
+		c.mark(j)
+		c.learn(j.id, withdrawn, 0)
+	}
+}
+
+// from is when a job could have started: its times count from there.
+func (j *job) from() int64 { return max(j.at, j.needed) }
+
+// begun tells whether some task was started, so that all it needs is done.
+func (j *job) begun() bool { return j.nPlaced+j.nDone > 0 }
+
+// final tells what a job that vanished from the mirror had become, if that is
+// known. A cancellation changes the job's key before its end does, and a final
+// state guards the version that it follows: without one the job was done.
+func (c *Core) final(j *job) (finalRecord, bool) {
+	if rec, ok := c.finals.state[j.id]; ok {
+		return rec, true
+	}
+	switch {
+	case j.cancelled:
+		return finalRecord{State: wire.Cancelled, Done: j.nDone}, true
+	case j.unsure > 0 && !j.begun():
+		return finalRecord{}, false
+	}
+	return finalRecord{State: wire.Done, Done: j.spec.Tasks, At: c.now}, true
+}
+
+// keepNeeds reads the final records of needs that were over before the mirror
+// could show how, a few at a time.
+func (c *Core) keepNeeds() {
+	if !c.synced || c.now < c.unsureAt {
+		return
+	}
+	for len(c.unsure) > 0 && c.asking < maxReads/2 {
+		id := c.unsure[0]
+		c.unsure = c.unsure[1:]
+		if n := c.needs[id]; n == nil || n.outcome != unsure {
+			continue
+		}
+		if o, at := c.known(id); o != unsure {
+			c.learn(id, o, at)
+			continue
+		}
+		c.readFinal(id, func(f found) {
+			if n := c.needs[id]; f != known && n != nil && n.outcome == unsure {
+				if f == never {
+					c.log(8, "no trace of a job that others need", "job", id)
+				}
+				c.unsure, c.unsureAt = append(c.unsure, id), c.now+c.jitter(Second/2)
+			}
+		})
+	}
+}
+
+// readFinal reads a job's final record, and notes what it says.
+func (c *Core) readFinal(id string, f func(found)) {
+	c.asking++
+	c.callStore(StoreCall{Op: OpGet, Key: overKey + id}, func(r *StoreReply) {
+		c.asking--
+		var rec finalRecord
+		switch {
+		case r.Status == 404:
+			f(never)
+		case r.Status == 200 && json.Unmarshal(r.Item.Value, &rec) == nil && rec.State != "":
+			c.finals.add(id, rec)
+			c.learn(id, rec.outcome(), rec.At)
+			f(known)
+		default:
+			f(unknown)
+		}
+	})
+}
+
+// vouch makes sure that all jobs that a submission names were accepted, from a
+// read begun after it arrived where the mirror doesn't know one. It gives 0, or
+// the status of a refusal.
+func (c *Core) vouch(spec *wire.Job, f func(status int, why string)) {
+	strangers := func() []string {
+		var list []string
+		for _, id := range spec.Needs {
+			if o, _ := c.known(id); o == unsure {
+				list = append(list, id)
+			}
+		}
+		return list
+	}
+	judge := func() {
+		for _, id := range spec.Needs {
+			if j := c.jobs[id]; j != nil && j.spec.Kind == wire.Daemon {
+				f(422, id+" is a service: it is never done")
+				return
+			}
+		}
+		f(0, "")
+	}
+	if len(strangers()) == 0 {
+		judge()
+		return
+	}
+	c.read(func(ok bool) {
+		if !ok {
+			f(503, "the state service did not answer")
+			return
+		}
+		// What is left is over or was never accepted. A long list is read in
+		// several tries of its user, each of which finds more of it known.
+		list := strangers()
+		if len(list) == 0 {
+			judge()
+			return
+		}
+		out, more := 0, len(list) > maxReads-c.asking
+		list = list[:min(len(list), max(0, maxReads-c.asking))]
+		missing, failed := "", more
+		if len(list) == 0 {
+			f(503, "too many submissions that name others at a time")
+			return
+		}
+		for _, id := range list {
+			out++
+			c.readFinal(id, func(found found) {
+				out--
+				switch found {
+				case never:
+					missing = id
+				case unknown:
+					failed = true
+				}
+				switch {
+				case out > 0:
+				case missing != "":
+					f(422, missing+" was never accepted")
+				case failed:
+					f(503, "not all jobs that it names could be looked up")
+				default:
+					judge()
+				}
+			})
+		}
+	})
+}
+
+// shorten leaves of what a job needs only what is not over: the rest says
+// nothing any more. One that needs a withdrawn job is withdrawn itself.
+func (c *Core) shorten(rec *jobRecord) {
+	var left []string
+	for _, id := range rec.Spec.Needs {
+		switch o, _ := c.known(id); o {
+		case ended:
+		case withdrawn:
+			rec.Spec.Needs, rec.Cancelled = nil, true
+			return
+		default:
+			left = append(left, id)
+		}
+	}
+	rec.Spec.Needs = left
+}
+
+// pack moves a job's needs into a form that takes a quarter of the room.
+func (r *jobRecord) pack() {
+	ids := slices.Clone(r.Spec.Needs)
+	// By length, for leading zeros tell ids apart, then as numbers.
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
+	r.Spec.Needs = nil
+	for len(ids) > 0 {
+		same := slices.IndexFunc(ids, func(id string) bool { return len(id) != len(ids[0]) })
+		if same < 0 {
+			same = len(ids)
+		}
+		r.Packed = binary.AppendUvarint(binary.AppendUvarint(r.Packed, uint64(len(ids[0])-len(idPrefix))), uint64(same))
+		last := uint64(0)
+		for _, id := range ids[:same] {
+			n, _ := strconv.ParseUint(id[len(idPrefix):], 10, 64) // its form was checked
+			r.Packed = binary.AppendUvarint(r.Packed, n-last)
+			last = n
+		}
+		ids = ids[same:]
+	}
+}
+
+const idPrefix = "wk-"
+
+// needs gives what a job needs, in whichever form it is kept.
+func (r *jobRecord) needs() []string {
+	ids := r.Spec.Needs
+	b := r.Packed
+	next := func() uint64 {
+		v, n := binary.Uvarint(b)
+		b = b[max(0, n):]
+		if n <= 0 {
+			b = nil
+		}
+		return v
+	}
+	for len(b) > 0 {
+		digits, count, last := int(next()), next(), uint64(0)
+		for ; count > 0 && len(b) > 0; count-- {
+			last += next()
+			text := strconv.FormatUint(last, 10)
+			for len(text) < min(digits, 18) {
+				text = "0" + text
+			}
+			ids = append(ids, idPrefix+text)
+		}
+	}
+	return ids
+}
+
+// urgency is what a job is ranked by: its own priority and deadline, or those of
+// the most urgent job that needs it.
+type urgency struct {
+	tier int
+	due  sched.Due
+}
+
+// urgencies works out every job's, by the mirror.
+func (c *Core) urgencies() {
+	c.urgent = map[string]urgency{}
+	slowest := c.slowest()
+	var of func(j *job) urgency
+	of = func(j *job) urgency {
+		if u, ok := c.urgent[j.id]; ok {
+			return u
+		}
+		u := urgency{tier: wire.Tier(j.spec.Priority)}
+		if j.spec.DeadlineS > 0 {
+			u.due = sched.Due{At: j.at, S: j.spec.DeadlineS, Class: j.spec.Class}
+		}
+		if n := c.needs[j.id]; n != nil {
+			for _, d := range n.by {
+				if d.cancelled || d.over {
+					continue // what it lent goes with it
+				}
+				lent := of(d)
+				u.tier = max(u.tier, lent.tier)
+				lent.due.After += d.spec.EstimateS + d.spec.ImageGB*slowest
+				if lent.due.S > 0 && (u.due.S == 0 || lent.due.Latest() < u.due.Latest()) {
+					u.due = lent.due
+				}
+			}
+		}
+		c.urgent[j.id] = u
+		return u
+	}
+	for _, j := range c.jobs {
+		of(j)
+	}
+}
+
+// slowest is how many seconds the slowest type takes to fetch a gigabyte.
+func (c *Core) slowest() float64 {
+	s := 0.0
+	for _, t := range c.types {
+		if t.FetchGBs > 0 {
+			s = max(s, 1/t.FetchGBs)
+		}
+	}
+	return s
+}
+
+// tier is the tier that a job is treated as having.
+func (c *Core) tier(j *job) int {
+	if u, ok := c.urgent[j.id]; ok {
+		return u.tier
+	}
+	return wire.Tier(j.spec.Priority)
+}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -24,6 +24,7 @@
 	fresh   []*newMachines  // machines to record
 	flush   *flush
 	flushAt int64
+	tight   int                // how often its flushes were too large: half as much each time
 	rents   map[sched.Kind]int // asked for and not recorded yet
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -33,6 +33,7 @@
 	if len(c.types) == 0 {
 		return
 	}
+	c.urgencies()
 	c.promise()
 	for _, p := range c.parts {
 		if p.held {
@@ -49,7 +50,7 @@
 	var due []*sched.Job
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
-		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.nPlaced+j.nDone > 0 || c.now < j.at+secs(c.set.Ops.BeginWithinS/4) ||
+		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.open > 0 || j.begun() || c.now < j.from()+secs(c.set.Ops.BeginWithinS/4) ||
 			c.outOfTurn(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
 			continue
 		}
@@ -107,7 +108,8 @@
 
 // shown shows a job to the planner.
 func (c *Core) shown(j *job) *sched.Job {
-	sj := &sched.Job{ID: j.id, Spec: &j.spec, Need: j.need, At: j.at, InZone: map[string]int{}, Avoid: j.avoid, Deprior: c.outOfTurn(j), Begun: j.nPlaced+j.nDone > 0}
+	sj := &sched.Job{ID: j.id, Spec: &j.spec, Need: j.need, Tier: c.tier(j), At: j.from(), Due: c.urgent[j.id].due, InZone: map[string]int{}, Avoid: j.avoid,
+		Deprior: c.outOfTurn(j), Begun: j.begun()}
 	for z, n := range j.zones {
 		sj.InZone[z] = n
 	}
@@ -177,7 +179,7 @@
 	shown := map[string]*sched.Job{}
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
-		if j.part != p.idx || j.over || j.cancelled {
+		if j.part != p.idx || j.over || j.cancelled || j.open > 0 {
 			continue
 		}
 		sj := c.shown(j)
@@ -283,7 +285,7 @@
 		t := j.task(id.n)
 		sj := shown[id.job]
 		if sj == nil && !j.cancelled {
-			sj = &sched.Job{ID: id.job, Spec: &j.spec, Need: j.need}
+			sj = &sched.Job{ID: id.job, Spec: &j.spec, Need: j.need, Tier: c.tier(j)}
 		}
 		u := sched.Use{Job: sj, Index: id.n, Need: j.need, End: c.now + 3*Second}
 		if sj != nil {
@@ -344,7 +346,7 @@
 			attempt = gangAttempt[j.id]
 		}
 		c.change(j, n, standing{placed, attempt, s.Machine.Name})
-		c.log(-4, "task placed", "job", j.id, "task", n, "attempt", attempt, "machine", s.Machine.Name, "waited_s", (c.now-j.at)/Second)
+		c.log(-4, "task placed", "job", j.id, "task", n, "attempt", attempt, "machine", s.Machine.Name, "waited_s", (c.now-j.from())/Second)
 		if m := c.machines[s.Machine.Name]; m.claim == j.id {
 			m.claim = ""
 		}
@@ -376,7 +378,7 @@
 	for _, m := range c.order {
 		// Asked again until it comes: a message may be lost.
 		if m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
-			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Guaranteed: m.claimG})
+			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: c.tier(jobs[m.claim]), Guaranteed: m.claimG})
 		}
 	}
 	if len(c.asks) > 0 {
@@ -470,7 +472,7 @@
 	without := map[string]sched.Res{}
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
-		tier := wire.Tier(j.spec.Priority)
+		tier := c.tier(j)
 		if tier < a.Tier {
 			continue
 		}
@@ -502,7 +504,7 @@
 	}
 	c.helloAt = c.now + Second
 	able := c.synced && !c.cutOff && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
-	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks}})
+	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Form: Form}})
 }
 
 func (c *Core) hello(h *peer.Hello) {
@@ -514,7 +516,8 @@
 		was = &heard{since: c.now}
 		c.hellos[h.Node] = was
 	}
-	was.at, was.storeOK, was.idle = c.now, h.StoreOK, map[string]bool{}
+	was.at, was.storeOK, was.idle, was.form = c.now, h.StoreOK, map[string]bool{}, h.Form
+	c.noteForm(h.Node, h.Form)
 	for _, i := range h.Idle {
 		was.idle[i.Machine] = true
 	}
@@ -539,7 +542,7 @@
 			parts = append(parts, p.idx)
 		}
 	}
-	up, idle, waiting, on := 0, 0, 0, 0
+	up, idle, waiting, held, on := 0, 0, 0, 0, 0
 	for _, m := range c.machines {
 		if c.ours(m) == nil {
 			continue
@@ -553,11 +556,15 @@
 		on += len(m.on)
 	}
 	for _, j := range c.jobs {
-		if c.parts[j.part].held && j.nPlaced+j.nDone < j.spec.Tasks {
+		switch {
+		case !c.parts[j.part].held:
+		case j.open > 0:
+			held++
+		case j.nPlaced+j.nDone < j.spec.Tasks:
 			waiting++
 		}
 	}
-	c.info("summary", "parts", parts, "machines_up", up, "machines_idle", idle, "tasks_on", on, "jobs", len(c.jobs), "jobs_waiting", waiting, "revision", c.rev)
+	c.info("summary", "parts", parts, "machines_up", up, "machines_idle", idle, "tasks_on", on, "jobs", len(c.jobs), "jobs_waiting", waiting, "jobs_waiting_for_jobs", held, "revision", c.rev)
 	told := map[string]int{}
 	for _, id := range sorted(c.why) {
 		j := c.jobs[id]
@@ -565,6 +572,6 @@
 			continue
 		}
 		told[j.spec.Team]++
-		c.info("job waits", "job", id, "team", j.spec.Team, "for_s", (c.now-j.at)/Second, "why", c.why[id])
+		c.info("job waits", "job", id, "team", j.spec.Team, "for_s", (c.now-j.from())/Second, "why", c.why[id])
 	}
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,7 +1,7 @@
 package core
 
 import (
-	"github.com/go-json-experiment/json"
+	"slices"
 
 	"spurmoor/internal/sched"
 	"spurmoor/internal/wire"
@@ -45,20 +45,19 @@
 			return
 		}
 		if j := c.jobs[id]; j != nil && !j.over {
+			if j.unsure > 0 && !j.begun() && !j.cancelled {
+				f(unknown, wire.JobStatus{}) // perhaps it is withdrawn
+				return
+			}
 			f(known, j.status())
 			return
 		}
-		c.callStore(StoreCall{Op: OpGet, Key: overKey + id}, func(r *StoreReply) {
-			var rec finalRecord
-			switch {
-			case r.Status == 404:
-				f(never, wire.JobStatus{})
-			case r.Status == 200 && json.Unmarshal(r.Item.Value, &rec) == nil && rec.State != "":
-				c.finals.add(id, rec)
-				final(rec)
-			default:
-				f(unknown, wire.JobStatus{})
+		c.readFinal(id, func(found found) {
+			if found == known {
+				final(c.finals.state[id])
+				return
 			}
+			f(found, wire.JobStatus{})
 		})
 	})
 }
@@ -93,11 +92,16 @@
 		c.unlessKnown(v.Req, spec.ID, 422, why, 0)
 		return
 	}
-	rec := mustJSON(jobRecord{Spec: *spec, At: c.now})
-	if len(rec) > int(c.set.Facts.State.ValueKB*1000) {
+	if len(mustJSON(jobRecord{Spec: without(*spec), At: c.now})) > c.maxValue() {
 		c.unlessKnown(v.Req, spec.ID, 400, "the job's description is too long", 0)
 		return
 	}
+	if o, _ := c.known(spec.ID); o != unsure {
+		// Known by the mirror: a transaction that is sure to fail would count
+		// as a change all the same.
+		c.unlessKnown(v.Req, spec.ID, 503, "the state service is busy", 1)
+		return
+	}
 	if len(c.jobs) >= c.set.Ops.QueueJobs || c.accepts >= 100 {
 		c.unlessKnown(v.Req, spec.ID, 429, "too many unfinished jobs", 5)
 		return
@@ -106,6 +110,49 @@
 		c.refuse(v.Req, 503, "the state service does not answer", 1)
 		return
 	}
+	if len(spec.Needs) == 0 {
+		c.accept(v.Req, mustJSON(jobRecord{Spec: *spec, At: c.now}), spec)
+		return
+	}
+	if slices.Contains(spec.Needs, spec.ID) {
+		c.unlessKnown(v.Req, spec.ID, 422, "the job waits for itself", 0)
+		return
+	}
+	if !c.allRead() {
+		c.unlessKnown(v.Req, spec.ID, 503, "not all controllers know jobs that wait for jobs yet", 2)
+		return
+	}
+	at := c.now
+	c.accepts++
+	c.vouch(spec, func(status int, why string) {
+		c.accepts--
+		if status != 0 {
+			c.unlessKnown(v.Req, spec.ID, status, why, 1)
+			return
+		}
+		rec := jobRecord{Spec: *spec, At: at}
+		c.shorten(&rec)
+		value := mustJSON(rec)
+		if len(value) > c.maxValue() {
+			rec.pack()
+			value = mustJSON(rec)
+		}
+		if len(value) > c.maxValue() {
+			c.unlessKnown(v.Req, spec.ID, 503, "it waits for more unfinished jobs than can be recorded", 5)
+			return
+		}
+		c.accept(v.Req, value, spec)
+	})
+}
+
+// without gives a job without what it needs.
+func without(spec wire.Job) wire.Job {
+	spec.Needs = nil
+	return spec
+}
+
+// accept records a job, and tells its user once that is durable.
+func (c *Core) accept(reqID uint64, rec []byte, spec *wire.Job) {
 	c.accepts++
 	c.spend(1)
 	req := &wire.Txn{If: []wire.Guard{{Key: jobKey + spec.ID}, {Key: overKey + spec.ID}},
@@ -115,11 +162,22 @@
 		switch r.Status {
 		case 200:
 			c.applyOwn(jobKey+spec.ID, rec, r.Txn.Revision)
-			c.answer(v.Req, 201, wire.JobStatus{ID: spec.ID, State: wire.Pending})
+			if len(spec.Needs) == 0 {
+				c.answer(reqID, 201, wire.JobStatus{ID: spec.ID, State: wire.Pending})
+				return
+			}
+			// What it needs may have been cancelled meanwhile, told by another.
+			c.lookup(spec.ID, func(f found, s wire.JobStatus) {
+				if f != known {
+					c.refuse(reqID, 503, "the state service did not answer", 1)
+					return
+				}
+				c.answer(reqID, 201, wire.JobStatus{ID: spec.ID, State: s.State})
+			})
 		case 409:
-			c.unlessKnown(v.Req, spec.ID, 503, "the state service is busy", 1)
+			c.unlessKnown(reqID, spec.ID, 503, "the state service is busy", 1)
 		default:
-			c.refuse(v.Req, 503, "the state service did not answer", 1)
+			c.refuse(reqID, 503, "the state service did not answer", 1)
 		}
 	})
 }
@@ -200,7 +258,8 @@
 		case j == nil || tries == 0:
 			away()
 		default:
-			rec := mustJSON(jobRecord{Spec: j.spec, At: j.at, Cancelled: true})
+			// Nobody asks any more what a cancelled job needed.
+			rec := mustJSON(jobRecord{Spec: without(j.spec), At: j.at, Cancelled: true})
 			req := &wire.Txn{If: []wire.Guard{{Key: jobKey + j.id, Version: j.ver}},
 				Then: []wire.Write{{Put: jobKey + j.id, Value: rec}}}
 			c.spend(1)
@@ -248,7 +307,15 @@
 		default:
 			e := wire.Explanation{ID: v.ID, State: s.State, Holder: c.parts[j.part].rec.Node, Why: c.why[v.ID],
 				WaitedS: float64(c.now-j.at) / float64(Second)}
+			end := c.expected(j, map[string]int64{})
 			switch {
+			case j.open > 0:
+				e.Why = "waits for other jobs to be done"
+				for _, id := range j.needs {
+					if c.needs[id].outcome != ended && len(e.WaitsFor) < maxNamed {
+						e.WaitsFor = append(e.WaitsFor, id)
+					}
+				}
 			case e.Holder == "":
 				e.Why = "no controller holds its team's part at the moment"
 			case !c.parts[j.part].held:
@@ -256,11 +323,58 @@
 			case c.now < j.holdOff:
 				e.Why = "it failed on every machine that it was tried on; tried again later"
 			}
-			if end := c.ends[v.ID]; end > c.now && j.spec.Kind != wire.Daemon {
+			if end > c.now && j.spec.Kind != wire.Daemon {
 				e.DoneInS = float64(end-c.now) / float64(Second)
 				e.Earliest, e.Latest = e.DoneInS/2, e.DoneInS*3/2
 			}
+			if j.spec.DeadlineS > 0 {
+				e.DeadlineInS = j.spec.DeadlineS - e.WaitedS
+				switch {
+				case end == 0:
+				case e.Latest <= e.DeadlineInS:
+					e.InTime = wire.InTimeYes
+				case e.Earliest > e.DeadlineInS:
+					e.InTime = wire.InTimeNo
+				default:
+					e.InTime = wire.InTimePerhaps
+				}
+			}
 			c.answer(v.Req, 200, e)
 		}
 	})
 }
+
+// maxNamed bounds the jobs named in an explanation.
+const maxNamed = 100
+
+// expected is when a job should be done, by the estimates: as its planner said,
+// or, where that is another controller or all that it needs is not done, as long
+// after that as a task takes. 0: it cannot be said.
+func (c *Core) expected(j *job, memo map[string]int64) int64 {
+	if end, ok := memo[j.id]; ok {
+		return end
+	}
+	var from int64
+	for _, id := range j.needs {
+		if o := c.jobs[id]; o != nil && !o.over {
+			at := c.expected(o, memo)
+			if at == 0 {
+				memo[j.id] = 0
+				return 0
+			}
+			from = max(from, at)
+		}
+	}
+	end := c.ends[j.id]
+	switch {
+	case j.spec.Kind == wire.Daemon:
+		end = 0
+	case end > c.now:
+	case j.open == 0 && c.parts[j.part].held:
+		end = 0 // ours, and the planner has not said yet
+	default:
+		end = max(from, c.now) + secs(j.spec.EstimateS+j.spec.ImageGB*c.slowest())
+	}
+	memo[j.id] = end
+	return end
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,7 +7,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Version of the form; a message of another version is refused.
+// Version of the form; a message of another version is refused. Fields may be
+// added under the same version: who does not know them passes them over.
 const Version = 3
 
 // Idle is a machine its holder would lend.
@@ -34,6 +35,7 @@
 	StoreOK bool
 	Idle    []Idle
 	Asks    []Ask
+	Form    int // of what the sender reads and writes in the state service; 0: of the first versions
 }
 
 // Encode gives the message's bytes.
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -49,6 +49,13 @@
 	Breaks        string     `toml:"breaks"` // the rule that a deliberate fault must break
 	Said          string     `toml:"said"`   // a line that the log must hold
 	Unsaid        string     `toml:"unsaid"` // a line that it must not hold
+	// Next is what the state service admits after the fault "limits", and what
+	// the settings of a controller name from its fault "upgrade" on.
+	Next struct {
+		WriteRPS float64 `toml:"write_rps"`
+		ValueKB  float64 `toml:"value_kb"`
+		TxnOps   int     `toml:"txn_ops"`
+	} `toml:"next"`
 }
 
 // Team of a scenario.
@@ -91,6 +98,10 @@
 	Zone        string  `toml:"zone"`
 	CancelAtS   float64 `toml:"cancel_at_s"`
 	Bad         bool    `toml:"bad"` // fails on every machine
+	DeadlineS   float64 `toml:"deadline_s"`
+	Needs       []int   `toml:"needs"`   // ids of jobs that must be done first
+	Follows     []int   `toml:"follows"` // the same; the k-th of Count needs the k-th from there
+	Late        bool    `toml:"late"`    // submitted only when all that it needs is over
 	Class       string  `toml:"class"`
 }
 
@@ -153,7 +164,7 @@
 func (j Job) spec(n int) wire.Job {
 	w := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: j.Class, Team: j.Team, Kind: j.Kind, Priority: j.Priority, Tasks: max(1, j.Tasks),
 		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: 1, Image: "img-" + j.Kind, ImageGB: j.ImageGB, Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread,
-		Spot: j.Spot, EstimateS: j.EstimateS, CheckpointS: j.CheckpointS}
+		Spot: j.Spot, EstimateS: j.EstimateS, CheckpointS: j.CheckpointS, DeadlineS: j.DeadlineS, Needs: j.needs(n)}
 	if w.Kind == "" {
 		w.Kind = wire.Array
 	}
@@ -181,6 +192,18 @@
 	return w
 }
 
+// needs names what the job with id n needs.
+func (j Job) needs(n int) []string {
+	var ids []string
+	for _, id := range j.Needs {
+		ids = append(ids, fmt.Sprintf("wk-%06d", id))
+	}
+	for _, id := range j.Follows {
+		ids = append(ids, fmt.Sprintf("wk-%06d", id+n-j.ID))
+	}
+	return ids
+}
+
 // submission is a job's body; the wire's form has nulls that ours leaves out.
 func submission(w wire.Job) []byte {
 	b, err := json.Marshal(w)
@@ -205,8 +228,8 @@
 	return b
 }
 
-// settingsFor gives node i's settings.
-func (s *Scenario) settingsFor(i int) (*settings.Settings, error) {
+// settingsFor gives node i's settings, with the limits that are announced.
+func (s *Scenario) settingsFor(i int, announced bool) (*settings.Settings, error) {
 	var p settings.Platform
 	for n := range 3 {
 		if n != i {
@@ -224,6 +247,9 @@
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = s.ReportS, s.LeaseS, s.CancelS
 	f.Workers.GangWaitS, f.Workers.GangPeerS = 40, 4
 	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = s.RPS, s.WriteRPS, s.ValueKB, s.TxnOps
+	if n := &s.Next; announced && n.TxnOps > 0 {
+		f.State.Next = &settings.NextState{WriteRPS: &n.WriteRPS, ValueKB: &n.ValueKB, TxnOps: &n.TxnOps}
+	}
 	f.Cloud.RPS, f.Cloud.ListLagS = 6, 5
 	f.Limits.Cores, f.Limits.MemMB, f.Limits.MaxConnections = 0.2, 100, s.Connections
 	raw, err := json.Marshal(p)
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -14,10 +14,10 @@
 	if u.Job == nil || u.Index < 0 {
 		return false
 	}
-	if wire.Tier(u.Job.Spec.Priority) < wire.Tier(j.Spec.Priority) {
+	if u.Job.Tier < j.Tier {
 		return true
 	}
-	if wire.Tier(u.Job.Spec.Priority) > wire.Tier(j.Spec.Priority) {
+	if u.Job.Tier > j.Tier {
 		return false // permitted within a guarantee, but it costs more than it serves
 	}
 	if u.New || u.Job.score > j.score {
@@ -99,7 +99,7 @@
 		equal := false
 		for _, c := range set {
 			least += c.lost
-			equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return wire.Tier(u.Job.Spec.Priority) >= wire.Tier(j.Spec.Priority) })
+			equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return u.Job.Tier >= j.Tier })
 		}
 		if equal && least > soon-p.Now {
 			continue // more work would be lost than wait saved
@@ -117,7 +117,7 @@
 
 // mayStopAny tells whether PROTOCOL might permit stopping anything for j.
 func (p *planner) mayStopAny(j *Job) bool {
-	return wire.Tier(j.Spec.Priority) > 1 || p.guaranteed(j)
+	return j.Tier > 1 || p.guaranteed(j)
 }
 
 // clearings is the machines that cost least to empty for a whole gang, or for
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -77,7 +77,7 @@
 		if could > 0 {
 			readiness = float64(ready) / float64(could)
 		}
-		j.score = w.Priority*float64(wire.Tier(j.Spec.Priority)) + w.Wait*wait + w.Deficit*deficit +
+		j.score = w.Priority*float64(j.Tier) + w.Wait*wait + w.Deficit*deficit +
 			w.ZoneFit*fit + w.Readiness*readiness + w.Backlog*backlog
 		j.score -= p.Ops.LatePenalty * p.outOfReach(j)
 		j.score -= p.Ops.LargePenalty * backlog * p.large(j, part, typical)
@@ -105,27 +105,35 @@
 // no longer meet. Exception: in an overload, wait alone would rank first those
 // that are late already, and so make everyone late.
 func (p *planner) outOfReach(j *Job) float64 {
-	aims := p.Aims[j.Spec.Class]
-	if len(aims) == 0 || j.Spec.EstimateS <= 0 {
+	if j.Spec.EstimateS <= 0 {
 		return 0
 	}
 	age := float64(p.Now-j.At) / float64(Second)
-	lost := 0
-	for _, a := range aims {
-		late := false
+	lost, n := 0, 0
+	count := func(late bool) {
+		if n++; late {
+			lost++
+		}
+	}
+	for _, a := range p.Aims[j.Spec.Class] {
 		switch a.Kind {
 		case "wait":
-			late = !j.Begun && age > a.WithinS
+			count(!j.Begun && age > a.WithinS)
 		case "finished":
-			late = age+j.Spec.EstimateS > a.WithinS
+			count(age+j.Spec.EstimateS > a.WithinS)
 		case "deadline":
-			late = j.Spec.DeadlineS > 0 && age+j.Spec.EstimateS > a.Times*j.Spec.DeadlineS
+			if j.Due.S == 0 {
+				count(false)
+			}
 		}
-		if late {
-			lost++
+	}
+	// The deadline's aims are those of the class of the job that has it.
+	for _, a := range p.Aims[j.Due.Class] {
+		if a.Kind == "deadline" {
+			count(float64(p.Now-j.Due.At)/float64(Second)+j.Spec.EstimateS+j.Due.After > a.Times*j.Due.S)
 		}
 	}
-	return float64(lost) / float64(len(aims))
+	return float64(lost) / math.Max(1, float64(n))
 }
 
 // drain is how long the whole part would be busy with what waits of a job, in
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -128,10 +128,10 @@
 // latest is when a task must start there at the latest to be early enough for
 // what its owner expects.
 func (p *planner) latest(j *Job, t *wire.MachineType) int64 {
-	if j.Spec.DeadlineS <= 0 {
+	if j.Due.S <= 0 {
 		return 0
 	}
-	return j.At + int64((j.Spec.DeadlineS-1.2*j.Spec.EstimateS)*float64(Second)) - p.fetch(j, t)
+	return j.Due.Latest() - int64(1.2*j.Spec.EstimateS*float64(Second)) - p.fetch(j, t)
 }
 
 // rentals puts what is to be rented into the plan, in the order of its demand.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -83,7 +83,9 @@
 	ID      string
 	Spec    *wire.Job
 	Need    Res
-	At      int64 // accepted
+	Tier    int   // that it is treated as having
+	At      int64 // accepted, and all that it needs done
+	Due     Due   // its deadline, or one that it must be early enough for
 	Pending int   // tasks to place, those held back by a back-off not counted
 	InZone  map[string]int
 	Avoid   map[string]bool // machines
@@ -94,6 +96,18 @@
 	blocked int
 }
 
+// Due is a deadline: of the job itself, or of the last of those that need it,
+// for which it must be done so much earlier. S 0: none.
+type Due struct {
+	At    int64 // when the job that has it was submitted
+	S     float64
+	Class string  // of that job
+	After float64 // seconds that those behind this one take, by the estimates
+}
+
+// Latest is when a job must be done.
+func (d Due) Latest() int64 { return d.At + int64((d.S-d.After)*float64(Second)) }
+
 // Team is a team's share of the part.
 type Team struct {
 	Used, Guarantee, Limit Res // a zero amount in Limit or Guarantee: none
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,12 +67,7 @@
 		GangPeerS float64 `json:"gang_peer_s"`
 		CancelS   float64 `json:"cancel_s"`
 	} `json:"workers"`
-	State struct {
-		RPS      float64 `json:"rps"`
-		WriteRPS float64 `json:"write_rps"`
-		ValueKB  float64 `json:"value_kb"`
-		TxnOps   int     `json:"txn_ops"`
-	} `json:"state"`
+	State State `json:"state"`
 	Cloud struct {
 		RPS      float64 `json:"rps"`
 		ListLagS float64 `json:"list_lag_s"`
@@ -85,6 +80,40 @@
 	TimeBoundMS float64 `json:"time_bound_ms"`
 }
 
+// State is what the state service admits.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+	// Next is what it will admit from some moment on, not told when. Nil, or a
+	// nil in it: no change is announced.
+	Next *NextState `json:"next,omitempty"`
+}
+
+// NextState is what changes of a State.
+type NextState struct {
+	RPS      *float64 `json:"rps,omitempty"`
+	WriteRPS *float64 `json:"write_rps,omitempty"`
+	ValueKB  *float64 `json:"value_kb,omitempty"`
+	TxnOps   *int     `json:"txn_ops,omitempty"`
+}
+
+// lower lowers each limit to the one announced, where that is lower.
+func (s *State) lower() {
+	if s.Next == nil {
+		return
+	}
+	for _, l := range []struct{ now, next *float64 }{{&s.RPS, s.Next.RPS}, {&s.WriteRPS, s.Next.WriteRPS}, {&s.ValueKB, s.Next.ValueKB}} {
+		if l.next != nil {
+			*l.now = min(*l.now, *l.next)
+		}
+	}
+	if s.Next.TxnOps != nil {
+		s.TxnOps = min(s.TxnOps, *s.Next.TxnOps)
+	}
+}
+
 // Weights weigh the terms of a job's score; the names follow the design.
 type Weights struct {
 	Priority  float64 `toml:"priority"`
@@ -224,6 +253,8 @@
 	if s.Ops.Parts == 0 {
 		s.Ops.Parts = max(2, len(s.Nodes))
 	}
+	// From the first moment on within both sets: when the limits fall is not told.
+	s.Facts.State.lower()
 	s.deal()
 	s.Sockets = s.sockets()
 	return s, nil
@@ -274,6 +305,19 @@
 	if f.State.TxnOps < 3 {
 		return fmt.Errorf("field facts.state.txn_ops: must be at least 3, is %d", f.State.TxnOps)
 	}
+	if next := f.State.Next; next != nil {
+		for _, n := range []struct {
+			field string
+			v     *float64
+		}{{"rps", next.RPS}, {"write_rps", next.WriteRPS}, {"value_kb", next.ValueKB}} {
+			if n.v != nil && (!(*n.v > 0) || math.IsInf(*n.v, 0)) {
+				return fmt.Errorf("field facts.state.next.%s: must be above 0, is %v", n.field, *n.v)
+			}
+		}
+		if next.TxnOps != nil && *next.TxnOps < 3 {
+			return fmt.Errorf("field facts.state.next.txn_ops: must be at least 3, is %d", *next.TxnOps)
+		}
+	}
 	if f.Workers.CancelS < f.Workers.LeaseS*1.01+2 {
 		return fmt.Errorf("field facts.workers.cancel_s: %v leaves no room after lease_s %v", f.Workers.CancelS, f.Workers.LeaseS)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -78,6 +78,7 @@
 	CheckpointS float64  `json:"RespaldoS"`
 	SaveS       float64  `json:"GuardadoS"`
 	DeadlineS   float64  `json:"PlazoS"`
+	Needs       []string `json:"Espera,omitzero"` // jobs that must be done first, each named once
 }
 
 type rawJob struct {
@@ -101,6 +102,7 @@
 	CheckpointS *float64  `json:"RespaldoS"`
 	SaveS       *float64  `json:"GuardadoS"`
 	DeadlineS   *float64  `json:"PlazoS"`
+	Needs       []string  `json:"Espera"`
 }
 
 var idForm = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
@@ -219,6 +221,16 @@
 	if r.DeadlineS != nil {
 		amount("PlazoS", r.DeadlineS, &j.DeadlineS)
 	}
+	named := map[string]bool{}
+	for _, id := range r.Needs {
+		if !ValidID(id) {
+			fail("Espera", fmt.Sprintf("%.40q does not look like wk-000412", id))
+		}
+		if !named[id] {
+			named[id] = true
+			j.Needs = append(j.Needs, id)
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -244,8 +256,21 @@
 	DoneInS  float64 `json:"done_in_s,omitzero"` // expected
 	Earliest float64 `json:"earliest_s,omitzero"`
 	Latest   float64 `json:"latest_s,omitzero"`
+	// Of a job that waits for others: which of them are not over yet.
+	WaitsFor []string `json:"waits_for,omitzero"`
+	// Of a job with a deadline: how far off it is, and whether the job, with
+	// all that it waits for, should be done by then.
+	DeadlineInS float64 `json:"deadline_in_s,omitzero"`
+	InTime      string  `json:"in_time,omitzero"`
 }
 
+// What Explanation.InTime says.
+const (
+	InTimeYes     = "yes"     // even at the latest
+	InTimePerhaps = "perhaps" // by the estimates, or nearly
+	InTimeNo      = "no"      // not even at the earliest
+)
+
 // Error is the body of a refusal.
 type Error struct {
 	Error string `json:"error"`
