--- a/cmd/spurmoor/main.go
+++ b/cmd/spurmoor/main.go
@@ -113,7 +113,9 @@
 		},
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "spurmoor", core.Version+build()) },
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintln(cmd.OutOrStdout(), "spurmoor", core.Version+build())
+		},
 	})
 	cmd.AddCommand(clients()...)
 	return cmd
