--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -93,15 +93,67 @@
 	return string(mustJSON(types))
 }
 
+// catalogPage is a page of the catalogue as the state service has it.
+type catalogPage struct {
+	catalogRecord
+	ver uint64
+}
+
+// catalogPage takes in a page; the catalogue is known once all its pages are.
+func (c *Core) catalogPage(name string, rec catalogRecord, ver uint64) {
+	c.pages[name] = catalogPage{rec, ver}
+	first := c.pages[""]
+	types := slices.Clone(first.Types)
+	for n := 1; n <= first.Pages; n++ {
+		p := c.pages[strconv.Itoa(n)]
+		if p.ver != first.ver {
+			return
+		}
+		types = append(types, p.Types...)
+	}
+	c.typesVer, c.typesKept = first.ver, shape(types)
+	if len(c.types) == 0 {
+		c.info("catalogue read", "types", len(types))
+		c.setTypes(types)
+	}
+}
+
+// paged deals the catalogue out to pages that a value holds.
+func (c *Core) paged() []catalogRecord {
+	pages := []catalogRecord{{}}
+	for _, t := range c.types {
+		last := &pages[len(pages)-1]
+		more := catalogRecord{Types: append(slices.Clip(last.Types), t), Pages: len(c.types)}
+		if len(last.Types) > 0 && len(mustJSON(more)) > c.maxValue() {
+			pages = append(pages, catalogRecord{Types: []wire.MachineType{t}})
+			continue
+		}
+		last.Types = more.Types
+	}
+	pages[0].Pages = len(pages) - 1
+	return pages
+}
+
 // keepTypes keeps the catalogue in the state service: a controller that
 // starts while the cloud is away could else neither accept nor place anything.
 func (c *Core) keepTypes() {
 	if !c.synced || c.typesKept == shape(c.types) {
 		return
 	}
-	c.spend(1)
-	c.callStore(StoreCall{Op: OpTxn, Txn: &wire.Txn{If: []wire.Guard{{Key: typesKey, Version: c.typesVer}},
-		Then: []wire.Write{{Put: typesKey, Value: mustJSON(wire.Catalog{Types: c.types})}}}}, func(*StoreReply) {})
+	pages := c.paged()
+	if len(pages) > 1 && !c.allRead() || len(pages) > c.set.Facts.State.TxnOps {
+		return // the first versions take the first page for all
+	}
+	req := &wire.Txn{If: []wire.Guard{{Key: typesKey, Version: c.typesVer}}}
+	for n, p := range pages {
+		key := typesKey
+		if n > 0 {
+			key += "/" + strconv.Itoa(n)
+		}
+		req.Then = append(req.Then, wire.Write{Put: key, Value: mustJSON(p)})
+	}
+	c.spend(len(pages))
+	c.callStore(StoreCall{Op: OpTxn, Txn: req}, func(*StoreReply) {})
 }
 
 func (c *Core) listMachines(after string) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -210,6 +210,7 @@
 	typesVer  uint64 // of the catalogue in the state service
 	typesKept string // its shape
 	typesBusy bool
+	pages     map[string]catalogPage // of the catalogue, by what follows its key
 	rentSeq   int
 	graves    map[string]int64 // machines lately deleted
 	refused   map[sched.Kind]int64
@@ -257,7 +258,7 @@
 	c := &Core{
 		set: set, rng: rng, inc: inc,
 		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
-		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*need{}, forms: map[string]int{}, tombs: map[string]origin{}, rows: map[string]int{},
+		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*need{}, forms: map[string]int{}, pages: map[string]catalogPage{}, tombs: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
 		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, listed: map[string]*listedMachine{},
 		typeOf: map[string]*wire.MachineType{}, hellos: map[string]*heard{}, why: map[string]string{},
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -19,7 +19,7 @@
 	// Live is the prefix of what the mirror follows.
 	Live     = "live/"
 	adoptKey = Live + "a"  // changes with every adoption of a stray machine
-	typesKey = Live + "c"  // the cloud's catalogue, prices as of some time
+	typesKey = Live + "c"  // the cloud's catalogue, prices as of some time; its further pages below
 	jobKey   = Live + "j/" // one for each unfinished job
 	logKey   = Live + "l/" // PART/SLOT: a part's log of tasks and machines
 	partKey  = Live + "p/"
@@ -42,6 +42,13 @@
 	Packed    []byte   `json:"w,omitzero"` // what the job needs, where the list would be too long
 }
 
+// catalogRecord is a page of the catalogue: as many types as a value holds. All
+// pages are written at once.
+type catalogRecord struct {
+	Types []wire.MachineType `json:"Tipos"`
+	Pages int                `json:"p,omitzero"` // of the first: how many follow
+}
+
 type finalRecord struct {
 	State string `json:"s"`
 	Done  int    `json:"n"`
@@ -432,16 +439,13 @@
 	switch {
 	case key == adoptKey:
 		c.adoptVer = max(c.adoptVer, ver)
-	case key == typesKey:
-		var rec wire.Catalog
+	case key == typesKey || strings.HasPrefix(key, typesKey+"/"):
+		var rec catalogRecord
 		if err := json.Unmarshal(value, &rec); err != nil {
 			bad(err)
 			return
 		}
-		c.typesVer, c.typesKept = ver, shape(rec.Types)
-		if len(c.types) == 0 {
-			c.setTypes(rec.Types)
-		}
+		c.catalogPage(strings.TrimPrefix(key[len(typesKey):], "/"), rec, ver)
 	case strings.HasPrefix(key, partKey):
 		i, err := strconv.Atoi(key[len(partKey):])
 		if err != nil || i < 0 || i >= len(c.parts) || c.parts[i].ver >= ver {
