--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -666,7 +666,7 @@
 	}
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
-		if c.tier(j) < pr.Job.Tier {
+		if c.tier(j) < wire.Tier(pr.Job.Spec.Priority) {
 			c.leave(j, j.task(id.n), "the machine is kept for "+pr.Job.ID)
 		}
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -378,7 +378,7 @@
 	for _, m := range c.order {
 		// Asked again until it comes: a message may be lost.
 		if m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
-			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: c.tier(jobs[m.claim]), Guaranteed: m.claimG})
+			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Guaranteed: m.claimG})
 		}
 	}
 	if len(c.asks) > 0 {
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -9,15 +9,20 @@
 	"spurmoor/internal/wire"
 )
 
+// own is the tier by which a job stops others. A priority that was lent ranks
+// it, and keeps it from being stopped, but stops nothing: gangs that a pipeline
+// needed put out others of their own sort, one of them ten times.
+func (j *Job) own() int { return wire.Tier(j.Spec.Priority) }
+
 // mayStop tells whether PROTOCOL permits stopping u for j.
 func (p *planner) mayStop(j *Job, u Use) bool {
 	if u.Job == nil || u.Index < 0 {
 		return false
 	}
-	if u.Job.Tier < j.Tier {
+	if u.Job.Tier < j.own() {
 		return true
 	}
-	if u.Job.Tier > j.Tier {
+	if u.Job.Tier > j.own() {
 		return false // permitted within a guarantee, but it costs more than it serves
 	}
 	if u.New || u.Job.score > j.score {
@@ -99,7 +104,7 @@
 		equal := false
 		for _, c := range set {
 			least += c.lost
-			equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return u.Job.Tier >= j.Tier })
+			equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return u.Job.Tier >= j.own() })
 		}
 		if equal && least > soon-p.Now {
 			continue // more work would be lost than wait saved
@@ -117,7 +122,7 @@
 
 // mayStopAny tells whether PROTOCOL might permit stopping anything for j.
 func (p *planner) mayStopAny(j *Job) bool {
-	return j.Tier > 1 || p.guaranteed(j)
+	return j.own() > 1 || p.guaranteed(j)
 }
 
 // clearings is the machines that cost least to empty for a whole gang, or for
--- a/internal/sched/promise.go
+++ b/internal/sched/promise.go
@@ -82,7 +82,7 @@
 	}
 	for _, u := range m.Uses {
 		switch {
-		case u.Job != nil && u.Job.Tier < j.Tier:
+		case u.Job != nil && u.Job.Tier < j.own():
 			at = max(at, min(u.End, now+Clearing))
 		case u.Job != nil && u.Job.Spec.Kind == wire.Daemon:
 			return math.MaxInt64
