A lent priority stops only arrays, and only where its deadline would be missed else

Without any stops a pipeline on a full cluster waited for other parts' work of lower tier (scenario pipelines: 162 s for 110).

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -378,7 +378,7 @@
 	for _, m := range c.order {
 		// Asked again until it comes: a message may be lost.
 		if m.claim != "" && m.rec.Cur != p.idx && jobs[m.claim] != nil {
-			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Guaranteed: m.claimG})
+			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Lent: c.tier(jobs[m.claim]), Guaranteed: m.claimG})
 		}
 	}
 	if len(c.asks) > 0 {
@@ -473,7 +473,7 @@
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
 		tier := c.tier(j)
-		if tier < a.Tier {
+		if tier < a.Tier || tier < a.Lent && j.spec.Kind == wire.Array && !c.isNew(j.task(id.n)) {
 			continue
 		}
 		if tier > a.Tier || c.isNew(j.task(id.n)) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,13 +18,14 @@
 
 // Ask wants a machine moved to a part: an idle one borrowed, a home machine
 // reclaimed as its tasks end, or one all of whose tasks may be stopped for a
-// job of this tier, within its team's guarantee or not.
+// job of this tier, within its team's guarantee or not, or of a lent tier.
 type Ask struct {
 	Machine    string
 	Part       int
 	Reclaim    bool
 	Tier       int
 	Guaranteed bool
+	Lent       int // tier lent to the job by one that needs it, where that is higher
 }
 
 // Hello is sent to every other controller about once a second. It says
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -9,17 +9,22 @@
 	"spurmoor/internal/wire"
 )
 
-// own is the tier by which a job stops others. A priority that was lent ranks
-// it, and keeps it from being stopped, but stops nothing: gangs that a pipeline
-// needed put out others of their own sort, one of them ten times.
+// own is a job's tier without what was lent to it.
 func (j *Job) own() int { return wire.Tier(j.Spec.Priority) }
 
+// lentMay tells whether a priority that was lent to j may stop u: tasks of
+// arrays only, that run for a while. Gangs that a pipeline needed put out others
+// of their own sort, one of them ten times.
+func (j *Job) lentMay(u Use) bool {
+	return u.Job.Tier < j.Tier && u.Job.Spec.Kind == wire.Array && !u.New
+}
+
 // mayStop tells whether PROTOCOL permits stopping u for j.
 func (p *planner) mayStop(j *Job, u Use) bool {
 	if u.Job == nil || u.Index < 0 {
 		return false
 	}
-	if u.Job.Tier < j.own() {
+	if u.Job.Tier < j.own() || j.lentMay(u) {
 		return true
 	}
 	if u.Job.Tier > j.own() {
@@ -109,6 +114,10 @@
 		if equal && least > soon-p.Now {
 			continue // more work would be lost than wait saved
 		}
+		if equal && j.Tier > j.own() && soon < math.MaxInt64 && j.Due.S > 0 &&
+			soon+int64(j.Spec.EstimateS*float64(Second)) <= j.Due.Latest() {
+			continue // what it was lent for is in time all the same
+		}
 		for _, c := range set {
 			taken[c.m] = true
 			if c.m.Claim == j.ID {
@@ -122,7 +131,7 @@
 
 // mayStopAny tells whether PROTOCOL might permit stopping anything for j.
 func (p *planner) mayStopAny(j *Job) bool {
-	return j.own() > 1 || p.guaranteed(j)
+	return j.Tier > 1 || p.guaranteed(j)
 }
 
 // clearings is the machines that cost least to empty for a whole gang, or for
