--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -168,7 +168,7 @@
 			c.learn(id, o, at)
 			continue
 		}
-		c.readFinal(id, func(f found) {
+		c.readNeed(id, func(f found) {
 			if n := c.needs[id]; f != known && n != nil && n.outcome == unsure {
 				if f == never {
 					c.log(8, "no trace of a job that others need", "job", id)
@@ -179,11 +179,19 @@
 	}
 }
 
+// readNeed is readFinal for a need, of which so many are read at a time; what
+// users ask of jobs that are over does not count.
+func (c *Core) readNeed(id string, f func(found)) {
+	c.asking++
+	c.readFinal(id, func(found found) {
+		c.asking--
+		f(found)
+	})
+}
+
 // readFinal reads a job's final record, and notes what it says.
 func (c *Core) readFinal(id string, f func(found)) {
-	c.asking++
 	c.callStore(StoreCall{Op: OpGet, Key: overKey + id}, func(r *StoreReply) {
-		c.asking--
 		var rec finalRecord
 		switch {
 		case r.Status == 404:
@@ -245,7 +253,7 @@
 		}
 		for _, id := range list {
 			out++
-			c.readFinal(id, func(found found) {
+			c.readNeed(id, func(found found) {
 				out--
 				switch found {
 				case never:
