--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -119,13 +119,14 @@
 
 func (u *user) cancel() {
 	u.asked = true
+	accepted := u.accepted // when it asks: an acceptance that overlaps may be newer
 	u.through(func(req uint64) any { return core.Cancel{Req: req, ID: u.id} }, func(a *core.Answer) {
 		if a != nil && a.Status == 200 {
 			u.w.check.cancelled(u, a.Body.(wire.JobStatus).State)
 			u.w.again(u.cancel)
 			return
 		}
-		if u.sent == 0 || a == nil || a.Status != 404 || !u.accepted {
+		if a == nil || a.Status != 404 || !accepted {
 			u.w.after(second, u.cancel)
 		} else {
 			u.w.check.breaks("forgotten", u.id+" at its cancellation")
