--- a/internal/rehearsal/loopback_test.go
+++ b/internal/rehearsal/loopback_test.go
@@ -442,6 +442,10 @@
 	if err := os.WriteFile(file, submission(mine.spec(15)), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	behind := filepath.Join(l.dir, "behind.json")
+	if err := os.WriteFile(behind, submission(Job{RunS: 5, Needs: []int{15}}.spec(16)), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args []string
 		says string
@@ -450,7 +454,10 @@
 		{[]string{"submit", file}, `"wk-000015"`, 0},
 		{[]string{"status", "wk-000015"}, `"Estado"`, 0},
 		{[]string{"status", "--why", "wk-000015"}, `"holder"`, 0},
+		{[]string{"submit", behind}, `"wk-000016"`, 0},
+		{[]string{"status", "--why", "wk-000016"}, `"waits_for":["wk-000015"]`, 0},
 		{[]string{"cancel", "wk-000015"}, wire.Cancelled, 0},
+		{[]string{"status", "wk-000016"}, wire.Cancelled, 0},
 		{[]string{"status", "wk-999999"}, "", 3},
 	} {
 		l.until(strings.Join(c.args, " "), func() bool {
