--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -6,9 +6,67 @@
 	"slices"
 	"testing"
 
+	"github.com/go-json-experiment/json"
+
+	"spurmoor/internal/settings"
 	"spurmoor/internal/wire"
 )
 
+// watched is a controller whose mirror holds one job, accepted at revision 3.
+func watched(t *testing.T) (*Core, []byte, wire.Event) {
+	t.Helper()
+	set := &settings.Settings{Ops: settings.Defaults(), TeamPart: map[string]int{"norte": 0}, Nodes: []string{"nodo-0"}}
+	set.Node, set.Ops.Parts = "nodo-0", 2
+	set.Facts.Teams = []settings.Team{{Name: "norte"}}
+	set.Facts.State = settings.State{RPS: 200, WriteRPS: 20, ValueKB: 8, TxnOps: 12}
+	c := New(set, 1, rand.New(rand.NewPCG(1, 1)))
+	c.synced = true
+	c.types = []wire.MachineType{{Name: "g4", CPUs: 24, GPUs: 4, MemoryGB: 100, Zones: []string{"alta"}}}
+	spec := wire.Job{ID: "wk-000001", Class: "c", Team: "norte", Kind: wire.Array, Priority: "standard", Tasks: 1, CPUs: 1, Image: "i", EstimateS: 5}
+	put := wire.Event{Put: jobKey + spec.ID, Value: mustJSON(jobRecord{Spec: spec, At: 1}), Version: 3}
+	c.followed(&StoreReply{Status: 200, Follow: wire.Follow{Revision: 3, Events: []wire.Event{put}}})
+	body := map[string]any{}
+	if err := json.Unmarshal(mustJSON(spec), &body); err != nil {
+		t.Fatal(err)
+	}
+	body["Zona"], body["PlazoS"] = nil, nil
+	return c, mustJSON(body), put
+}
+
+// TestOvertakenWatch guards against an answer of a watch that a later one
+// overtook: it brought back a job that was over, for good.
+func TestOvertakenWatch(t *testing.T) {
+	c, _, put := watched(t)
+	if c.jobs["wk-000001"] == nil {
+		t.Fatal("the job is not in the mirror")
+	}
+	c.followed(&StoreReply{Status: 200, Follow: wire.Follow{Revision: 5, Events: []wire.Event{put, {Delete: put.Put, Version: 5}}}})
+	c.followed(&StoreReply{Status: 200, Follow: wire.Follow{Revision: 3, Events: []wire.Event{put}}})
+	if c.jobs["wk-000001"] != nil || c.finals.state["wk-000001"].State != wire.Done {
+		t.Errorf("a job that was over came back; its end is taken for %+v", c.finals.state["wk-000001"])
+	}
+}
+
+// TestRetryCostsNoChange guards against a transaction, which counts as a change,
+// for a submission of a job that the mirror knows.
+func TestRetryCostsNoChange(t *testing.T) {
+	c, body, _ := watched(t)
+	txns := 0
+	for i, b := range [][]byte{body, []byte(string(body[:len(body)-1]) + `,"Espera":["wk-000001"]}`)} {
+		for _, e := range c.Step(int64(i+1)*Second, Submit{Req: uint64(i + 1), Body: b}) {
+			if call, ok := e.(StoreCall); ok && call.Op == OpTxn && len(call.Txn.Then) > 0 && call.Txn.Then[0].Put == jobKey+"wk-000001" {
+				txns++
+			}
+			if a, ok := e.(Answer); ok && a.Status >= 400 && a.Status < 429 {
+				t.Errorf("a retry was refused: %+v", a)
+			}
+		}
+	}
+	if txns > 0 {
+		t.Errorf("%d transactions for a job that is known", txns)
+	}
+}
+
 // TestPack guards that a long list of needs comes back as it was, leading
 // zeros included, and takes so little room that several hundred fit into a
 // value of 2 KiB beside the job.
