--- /dev/null
+++ b/internal/rehearsal/upgrade_test.go
@@ -0,0 +1,145 @@
+//go:build upgrade
+
+package rehearsal
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"spurmoor/internal/wire"
+)
+
+// TestUpgrade builds the version in production (deploy/service.toml) from the
+// repository's history and changes three processes over to these sources while
+// they serve: part after part, with kills in between, take-overs in both
+// directions, machines lent across and the limits of the state service lowered
+// at the end. It needs the history, so CI does not run it:
+//
+//	go test -tags upgrade -run TestUpgrade ./internal/rehearsal
+func TestUpgrade(t *testing.T) {
+	sc, err := Parse([]byte(`lease_s = 6
+cancel_s = 14
+value_kb = 8
+[next]
+value_kb = 2
+txn_ops = 4
+write_rps = 15
+[[type]]
+name = "g4"
+cpus = 24
+gpus = 4
+price = 8
+boot_s = 0.5
+count = 4
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLoopback(t, sc)
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	deploy, err := os.ReadFile(filepath.Join(root, "deploy/service.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := regexp.MustCompile(`(?m)^production = "([0-9a-f]{40})"$`).FindSubmatch(deploy)
+	if named == nil {
+		t.Fatal("deploy/service.toml names no commit in production")
+	}
+	tree := filepath.Join(l.dir, "production")
+	if out, err := exec.Command("git", "-C", root, "worktree", "add", "--detach", tree, string(named[1])).CombinedOutput(); err != nil {
+		t.Fatalf("the history of production is not here: %v\n%s", err, out)
+	}
+	t.Cleanup(func() { _ = exec.Command("git", "-C", root, "worktree", "remove", "--force", tree).Run() })
+	was, now := l.build("was", tree), l.build("now", ".")
+	for i := range 3 {
+		l.start(i, was)
+	}
+	for i := range 3 {
+		l.ready(i)
+	}
+	// Long work in every part, gangs of whole machines, a cancellation; of all
+	// that runs meanwhile nothing may be lost or run twice.
+	n := 0
+	var ids []string
+	burst := func() {
+		for _, team := range []string{"norte", "sur", "oeste"} {
+			n++
+			ids = append(ids, l.submit(n, Job{Tasks: 8, GPUs: 1, RunS: 4, Team: team}))
+			n++
+			ids = append(ids, l.submit(n, Job{Tasks: 2, GPUs: 4, RunS: 2, Team: team, Kind: wire.Gang, Priority: "urgent"}))
+		}
+	}
+	daemon := l.submit(900, Job{Tasks: 2, GPUs: 1, Team: "norte", Kind: wire.Daemon})
+	long := l.submit(901, Job{Tasks: 2, CPUs: 1, RunS: 600, Team: "sur"})
+	burst()
+	l.becomes(daemon, 0, wire.Running)
+	l.becomes(long, 1, wire.Running)
+	holder := func(part int) int {
+		at := -1
+		l.do(func() {
+			if h := l.w.holder(part); h != nil {
+				at = h.i
+			}
+		})
+		return at
+	}
+	before := l.lent.Load()
+	for i := range 3 {
+		l.kill(i)
+		burst()
+		// Another's version takes the part over: the old one's here first,
+		// then the new one's of what an old one held.
+		l.until("another holds the part of "+nodeName(i), func() bool { h := holder(i); return h >= 0 && h != i })
+		if i == 1 { // dies before its turn, and comes back old once more
+			l.start(1, was)
+			l.ready(1)
+			l.kill(1)
+			l.kill(0)
+			l.start(0, now)
+			l.ready(0)
+		}
+		l.start(i, now)
+		l.ready(i)
+		if i < 2 {
+			l.until("jobs that wait for jobs are put off while an old version lives", func() bool {
+				s, _ := l.ask("POST", i, "/work", submission(Job{RunS: 1, Needs: []int{901}}.spec(950)))
+				return s == 503
+			})
+		}
+		burst()
+		l.until(nodeName(i)+" has its part back", func() bool { return holder(i) == i })
+	}
+	if l.lent.Load() == before {
+		t.Error("no machine was lent while both versions served")
+	}
+	// A part of the new version's goes to an old process and back: it reads
+	// what was written, and nothing of jobs that wait is there yet.
+	l.kill(0)
+	l.start(0, was)
+	l.ready(0)
+	l.until("the old version holds a part again", func() bool { return holder(0) == 0 })
+	burst()
+	l.kill(0)
+	l.start(0, now)
+	l.ready(0)
+	l.do(func() {
+		sc.ValueKB, sc.TxnOps, sc.WriteRPS = sc.Next.ValueKB, sc.Next.TxnOps, sc.Next.WriteRPS
+		l.w.store.changes.rate = sc.WriteRPS
+	})
+	burst()
+	last := l.submit(951, Job{Tasks: 1, RunS: 1, Team: "oeste", Needs: []int{n, n - 1, n - 2}})
+	behind := l.submit(952, Job{Tasks: 1, RunS: 1, Team: "norte", Needs: []int{901, 951}})
+	for _, id := range append(ids, last) {
+		l.becomes(id, n%3, wire.Done)
+	}
+	l.cancel(long, 1)
+	l.becomes(behind, 2, wire.Cancelled)
+	l.cancel(daemon, 2)
+	l.unbroken()
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,10 @@
 		"facts.zones":                   {`"zones":["a","b"]`, `"zones":[]`},
 		"facts.cloud.rps":               {`"rps":2`, `"rps":0`},
 		"facts.machine_limits.cores":    {`"cores":0.12,`, ``},
+		"facts.state.next.value_kb":     {`"txn_ops":48`, `"txn_ops":48,"next":{"value_kb":0}`},
+		"facts.state.next.write_rps":    {`"txn_ops":48`, `"txn_ops":48,"next":{"write_rps":-1}`},
+		"facts.state.next.txn_ops":      {`"txn_ops":48`, `"txn_ops":48,"next":{"txn_ops":2}`},
+		"/facts/state/next":             {`"txn_ops":48`, `"txn_ops":48,"next":[2]`},
 		"facts.teams: y has the amount": {`"name":"y","gpus":4`, `"name":"y","gpus":-4`},
 	}
 	for field, change := range bad {
@@ -49,6 +53,27 @@
 	}
 }
 
+// TestNextLimits guards that the lower of both sets holds from the start.
+func TestNextLimits(t *testing.T) {
+	for next, want := range map[string]State{
+		`null`:                                 {RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 48},
+		`{}`:                                   {RPS: 150, WriteRPS: 60, ValueKB: 16, TxnOps: 48},
+		`{"value_kb":2,"txn_ops":4}`:           {RPS: 150, WriteRPS: 60, ValueKB: 2, TxnOps: 4},
+		`{"value_kb":99,"write_rps":42}`:       {RPS: 150, WriteRPS: 42, ValueKB: 16, TxnOps: 48},
+		`{"rps":100,"unheard":1,"txn_ops":48}`: {RPS: 100, WriteRPS: 60, ValueKB: 16, TxnOps: 48},
+	} {
+		s, err := Parse([]byte(strings.Replace(sound, `"txn_ops":48`, `"txn_ops":48,"next":`+next, 1)), Defaults())
+		if err != nil {
+			t.Errorf("%s: %v", next, err)
+			continue
+		}
+		got := s.Facts.State
+		if got.Next = nil; got != want {
+			t.Errorf("%s: %+v, want %+v", next, got, want)
+		}
+	}
+}
+
 func TestParseOperators(t *testing.T) {
 	ops, err := ParseOperators([]byte("cycle_s = 7\n[weights]\nwait = 0.5\n"))
 	if err != nil || ops.CycleS != 7 || ops.Weights.Wait != 0.5 || ops.Weights.Priority != Defaults().Weights.Priority {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -32,6 +32,13 @@
 		{`"urgent"`, `"asap"`, "Prelacion"},
 		{`"Together":true,`, ``, "Together"},
 		{`"Together":true`, `"Together":"yes"`, "valid"},
+		{`"PlazoS":900.0`, `"PlazoS":null,"Espera":null`, ""},
+		{`"PlazoS":900.0`, `"PlazoS":1,"Espera":[]`, ""},
+		{`"PlazoS":900.0`, `"PlazoS":1,"Espera":["wk-000411","wk-000410","wk-000411"]`, ""},
+		{`"PlazoS":900.0`, `"PlazoS":1,"Espera":"wk-000411"`, "valid"},
+		{`"PlazoS":900.0`, `"PlazoS":1,"Espera":[411]`, "valid"},
+		{`"PlazoS":900.0`, `"PlazoS":1,"Espera":["wk-000411","job"]`, "Espera"},
+		{`"PlazoS":900.0`, `"PlazoS":1,"Espera":[null]`, "Espera"},
 		{sound, `[1]`, "object"},
 		{sound, `{"Id":`, "valid"},
 		{sound, ``, "object"},
@@ -50,6 +57,13 @@
 	}
 }
 
+func TestNeedsOnce(t *testing.T) {
+	j, err := ParseJob([]byte(strings.Replace(sound, `"PlazoS":900.0`, `"PlazoS":1,"Espera":["wk-9","wk-1","wk-9"]`, 1)))
+	if err != nil || len(j.Needs) != 2 || j.Needs[0] != "wk-9" || j.Needs[1] != "wk-1" {
+		t.Errorf("needs %q, %v", j.Needs, err)
+	}
+}
+
 // TestAnyTypeStays guards against null types coming back as no type at all
 // from a job's record: such a job could run nowhere.
 func TestAnyTypeStays(t *testing.T) {
