A controller that stood still lets nothing out that it decided before

Answers and direct commands are checked against the clock once more as they leave; more than a second after the core decided them an answer becomes 503 and a command counts as unsent. TestStandsStill fails without either check. The count of open connections was set after the listener served: a report in between would have ended the process (race detector).

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -37,7 +37,7 @@
 	core    *core.Core
 	first   chan input // what others wait for: looked at before inputs
 	inputs  chan input
-	waiting map[uint64]chan core.Answer
+	waiting map[uint64]chan decided
 	nextReq atomic.Uint64
 	store   *store.Client
 	cloud   *cloud.Client
@@ -48,16 +48,30 @@
 	garbage atomic.Uint64
 	open    func() int32 // public connections now
 	crowded atomic.Bool  // they were too many once
-	start   time.Time
+	now     func() int64
 }
 
 // input is an input to the core, or a request that awaits its answer.
 type input struct {
 	in  any
 	req uint64
-	to  chan core.Answer
+	to  chan decided
 }
 
+// decided is an answer and when the core gave it.
+type decided struct {
+	core.Answer
+	at int64
+}
+
+// staleAfter is how long after the core decided it an answer or a command may
+// leave the process: one that stood still in between knows nothing of what was
+// told elsewhere meanwhile.
+const staleAfter = core.Second
+
+// stale tells whether what was decided at a time must not leave any more.
+func (s *Server) stale(at int64) bool { return s.now() > at+staleAfter }
+
 // New makes a controller's server and fits the process to its limits.
 func New(set *settings.Settings, log *slog.Logger) (*Server, error) {
 	var seed [16]byte
@@ -70,11 +84,11 @@
 	inc := binary.LittleEndian.Uint64(seed[:8]) >> 12
 	rng := rand.New(rand.NewPCG(inc, binary.LittleEndian.Uint64(seed[8:])))
 	s := &Server{
-		set: set, log: log, core: core.New(set, inc, rng), start: time.Now(),
+		set: set, log: log, core: core.New(set, inc, rng), now: clock(),
 		// As many as can ask at a time: a queue of a fixed length turned
 		// workers away that the sockets had room for.
 		inputs: make(chan input, set.Facts.Limits.MaxConnections), first: make(chan input, 256),
-		waiting: map[uint64]chan core.Answer{},
+		waiting: map[uint64]chan decided{},
 		pushes:  make(chan struct{}, set.Sockets.Pushes),
 		telling: make([]atomic.Bool, len(set.Peers)),
 		workers: &fasthttp.Client{MaxConnsPerHost: 2, ReadTimeout: 4 * time.Second, WriteTimeout: 2 * time.Second,
@@ -88,8 +102,11 @@
 	return s, nil
 }
 
-// now is the time of day at the start plus what the steady clock says since.
-func (s *Server) now() int64 { return s.start.UnixMicro() + time.Since(s.start).Microseconds() }
+// clock gives the time of day at the start plus what the steady clock says since.
+func clock() func() int64 {
+	start := time.Now()
+	return func() int64 { return start.UnixMicro() + time.Since(start).Microseconds() }
+}
 
 // Run serves until ctx ends or a listener fails.
 func (s *Server) Run(ctx context.Context) error {
@@ -97,12 +114,12 @@
 	for _, w := range s.set.Sound() {
 		s.log.Warn("settings", "warning", w)
 	}
-	public, err := s.listen(ctx, g, s.set.PublicAddr, s.public, s.set.Sockets.Public)
-	if err != nil {
+	public, internal := s.serves(s.public, s.set.Sockets.Public), s.serves(s.internal, s.set.Sockets.Internal)
+	s.open = public.GetOpenConnectionsCount
+	if err := listen(ctx, g, s.set.PublicAddr, public); err != nil {
 		return err
 	}
-	s.open = public.GetOpenConnectionsCount
-	if _, err := s.listen(ctx, g, s.set.InternalAddr, s.internal, s.set.Sockets.Internal); err != nil {
+	if err := listen(ctx, g, s.set.InternalAddr, internal); err != nil {
 		return err
 	}
 	g.Go(func() error { return s.loop(ctx) })
@@ -110,16 +127,20 @@
 	return g.Wait()
 }
 
-func (s *Server) listen(ctx context.Context, g *errgroup.Group, addr string, h fasthttp.RequestHandler, most int) (*fasthttp.Server, error) {
-	ln, err := net.Listen("tcp4", addr)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
-	srv := &fasthttp.Server{
+// serves makes a server for so many connections.
+func (s *Server) serves(h fasthttp.RequestHandler, most int) *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler: h, Concurrency: most, MaxRequestBodySize: wire.MaxBody, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 5 * time.Second, IdleTimeout: 90 * time.Second, NoDefaultServerHeader: true,
 		ReduceMemoryUsage: true, Logger: quiet{}, ErrorHandler: s.badRequest,
 	}
+}
+
+func listen(ctx context.Context, g *errgroup.Group, addr string, srv *fasthttp.Server) error {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
 	g.Go(func() error {
 		if err := srv.Serve(ln); err != nil && ctx.Err() == nil {
 			return fmt.Errorf("serve %s: %w", addr, err)
@@ -130,7 +151,7 @@
 		<-ctx.Done()
 		return ln.Close()
 	})
-	return srv, nil
+	return nil
 }
 
 type quiet struct{}
@@ -173,8 +194,9 @@
 				take(v)
 			}
 		}
-		for _, e := range s.core.Step(s.now(), in) {
-			s.effect(e)
+		now := s.now()
+		for _, e := range s.core.Step(now, in) {
+			s.effect(e, now)
 		}
 	}
 }
@@ -185,19 +207,19 @@
 // thousand reports.
 func (s *Server) hasten(in any) { s.first <- input{in: in} }
 
-func (s *Server) effect(e any) {
+func (s *Server) effect(e any, now int64) {
 	switch v := e.(type) {
 	case core.Answer:
 		if to := s.waiting[v.Req]; to != nil {
 			delete(s.waiting, v.Req)
-			to <- v
+			to <- decided{v, now}
 		}
 	case core.StoreCall:
 		go func() { s.hasten(s.store.Do(v)) }()
 	case core.CloudCall:
 		go func() { s.feed(s.cloud.Do(v)) }()
 	case core.Push:
-		go s.push(v)
+		go s.push(v, now)
 	case core.Tell:
 		s.tell(v.Hello)
 	case core.Log:
@@ -206,7 +228,7 @@
 }
 
 // push sends direct commands; a worker that hangs holds one of few places.
-func (s *Server) push(p core.Push) {
+func (s *Server) push(p core.Push, decidedAt int64) {
 	out := core.Pushed{Machine: p.Machine, Token: p.Body.Token, Starts: p.Starts}
 	defer func() { s.feed(out) }()
 	select {
@@ -231,6 +253,10 @@
 	// Kept open they would take the sockets of the workers' reports: one to
 	// each machine within the seconds after a take-over.
 	req.SetConnectionClose()
+	if s.stale(decidedAt) {
+		out.Unsent = true
+		return
+	}
 	if err := s.workers.DoTimeout(req, resp, 3*time.Second); err != nil {
 		return
 	}
@@ -273,14 +299,18 @@
 // ask hands a request to the core and waits for its answer.
 func (s *Server) ask(ctx *fasthttp.RequestCtx, in chan<- input, toInput func(req uint64) any) {
 	req := s.nextReq.Add(1)
-	to := make(chan core.Answer, 1)
+	to := make(chan decided, 1)
 	select {
 	case in <- input{toInput(req), req, to}:
 	default:
 		respond(ctx, core.Answer{Status: 429, Body: wire.Error{Error: "too many requests"}, RetryAfter: 2})
 		return
 	}
-	respond(ctx, <-to)
+	a := <-to
+	if s.stale(a.at) {
+		a.Answer = core.Answer{Status: 503, Body: wire.Error{Error: "this controller stood still"}, RetryAfter: 1}
+	}
+	respond(ctx, a.Answer)
 }
 
 func respond(ctx *fasthttp.RequestCtx, a core.Answer) {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -12,13 +12,16 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"spurmoor/internal/core"
 	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
 )
 
-// TestMoreWorkersThanSockets guards against workers that keep all connections
-// for themselves: a worker's is closed once answered while the listener is
-// crowded, so every one of them is answered, and health checks as well.
-func TestMoreWorkersThanSockets(t *testing.T) {
+// alone is a controller whose state service and cloud are not there.
+func alone(t *testing.T) (*Server, *settings.Settings) {
+	t.Helper()
 	free := func() string {
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -41,6 +44,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return s, set
+}
+
+// TestMoreWorkersThanSockets guards against workers that keep all connections
+// for themselves: a worker's is closed once answered while the listener is
+// crowded, so every one of them is answered, and health checks as well.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	s, set := alone(t)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
@@ -90,3 +101,61 @@
 		t.Errorf("the health check is answered %d, closed %t", resp.StatusCode, resp.Close)
 	}
 }
+
+// TestStandsStill guards against what a controller decided before it stood still
+// taking effect after: no answer and no command leaves it then.
+func TestStandsStill(t *testing.T) {
+	s, _ := alone(t)
+	var now int64
+	s.now = func() int64 { return now }
+	worker, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer worker.Close()
+	reached := make(chan struct{}, 2)
+	go func() {
+		for {
+			conn, err := worker.Accept()
+			if err != nil {
+				return
+			}
+			reached <- struct{}{}
+			conn.Close()
+		}
+	}()
+	for _, c := range []struct {
+		after  int64
+		status int
+		unsent bool
+	}{{staleAfter, 200, false}, {staleAfter + 1, 503, true}} {
+		now = 0
+		in := make(chan input, 1)
+		go func() {
+			v := <-in
+			s.waiting[v.req] = v.to
+			s.effect(core.Answer{Req: v.req, Status: 200, Body: wire.JobStatus{}}, 0)
+		}()
+		ctx := &fasthttp.RequestCtx{}
+		now = c.after
+		s.ask(ctx, in, func(req uint64) any { return core.Poll{Req: req} })
+		if got := ctx.Response.StatusCode(); got != c.status {
+			t.Errorf("an answer decided %d us ago leaves as %d, not %d", c.after, got, c.status)
+		}
+		s.push(core.Push{Machine: "n-1", Addr: worker.Addr().String(), Starts: true}, 0)
+		out := (<-s.inputs).in.(core.Pushed)
+		select {
+		case <-reached:
+			if c.unsent {
+				t.Error("a command decided before standing still reached its worker")
+			}
+		default:
+			if !c.unsent {
+				t.Error("a fresh command did not reach its worker")
+			}
+		}
+		if out.Unsent != c.unsent {
+			t.Errorf("a command decided %d us ago counts as unsent: %t", c.after, out.Unsent)
+		}
+	}
+}
