--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,14 @@
 	TimeBoundMS float64 `json:"time_bound_ms"`
 }
 
+// Horizon is how many seconds a controller that lost the state service may go on
+// answering reports: together with a lease by a slow clock and a margin that stays
+// below cancel_s, so that a task whose job was cancelled elsewhere ends in time.
+func (f *Facts) Horizon() float64 {
+	left := f.Workers.CancelS - f.Workers.LeaseS*1.002
+	return left - min(3, left/4)
+}
+
 // State is what the state service admits.
 type State struct {
 	RPS      float64 `json:"rps"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -109,3 +109,28 @@
 		}
 	})
 }
+
+// TestHorizon guards that a task kept alive by the last answer within the horizon
+// is gone before cancel_s, by a slow clock too, and that settings which leave little
+// of it are named.
+func TestHorizon(t *testing.T) {
+	for _, c := range []struct {
+		lease, cancel string
+		warned        bool
+	}{{"31", "61", false}, {"38", "58", false}, {"18", "48", false}, {"18", "28.5", true}, {"18", "21", true}, {"600", "2000", false}} {
+		text := strings.Replace(strings.Replace(sound, `"lease_s":18`, `"lease_s":`+c.lease, 1), `"cancel_s":48`, `"cancel_s":`+c.cancel, 1)
+		s, err := Parse([]byte(text), Defaults())
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := s.Facts.Workers
+		h := s.Facts.Horizon()
+		slow := (h + w.LeaseS) * 1.0005 // the most that clocks drift apart
+		if h <= 0 || slow >= w.CancelS-0.2 {
+			t.Errorf("lease_s %s, cancel_s %s: horizon %.2f, all gone after %.2f", c.lease, c.cancel, h, slow)
+		}
+		if got := strings.Contains(strings.Join(s.Sound(), "; "), "cancel_s"); got != c.warned {
+			t.Errorf("lease_s %s, cancel_s %s: warned %t", c.lease, c.cancel, got)
+		}
+	}
+}
--- a/internal/settings/sockets_test.go
+++ b/internal/settings/sockets_test.go
@@ -24,6 +24,7 @@
 		}
 		// Too few of them are no reason not to start, but are said.
 		s.Facts.Limits.MemMB = 186
+		s.Facts.Workers.LeaseS, s.Facts.Workers.CancelS = 18, 48
 		if said := len(s.Sound()); said != 0 && c.most >= 200 || said == 0 && c.most < 200 {
 			t.Errorf("%d sockets: %d warnings", c.most, said)
 		}
