The horizon counts from what the mirror is known to show, not from the renewal

Watches wait 2 s at most instead of 5, so that the bound is close.

A job that a trouble called off may end as withdrawn where a scenario expects it done.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,6 +170,7 @@
 	// the mirror of the state service
 	synced   bool
 	rev      uint64
+	knownAt  int64 // the mirror shows all that was committed before then
 	parts    []*part
 	machines map[string]*machine
 	order    []*machine        // by name
@@ -235,6 +236,7 @@
 	formed    bool // all read ours; said so
 	helloAt   int64
 	asks      []peer.Ask
+	tolds     []told
 	stepBack  int64 // takes no part before this
 	unreached int64
 	heardAt   int64 // any worker, of whatever part
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -57,6 +57,10 @@
 		c.answer(v.Req, 421, wire.Redirect{To: to})
 		return
 	}
+	if c.outlives(m) {
+		c.refuse(v.Req, 503, "a cancelled task may still start there", 1)
+		return
+	}
 	token := c.tokenOf(m)
 	if r.Token > token {
 		// Someone was entitled after us: our mirror is behind.
@@ -68,11 +72,26 @@
 		c.refuse(v.Req, 503, "a newer report was seen", 1)
 		return
 	}
+	m.reportAt = c.now
 	orders := c.takeIn(m, r, true)
 	m.deadAt = max(m.deadAt, c.now+c.leaseS()+Second/2)
 	c.answer(v.Req, 200, wire.Orders{Token: token, Commands: orders})
 }
 
+// outlives tells whether a machine is to lose its lease for a job that was
+// cancelled a horizon ago: a direct start of it there had no answer and is not
+// ruled out by a higher token, for that needs the state service. Everything else
+// that must stop is told with each answer that renews the lease.
+func (c *Core) outlives(m *machine) bool {
+	for _, id := range m.on {
+		j := c.jobs[id.job]
+		if t := j.task(id.n); j.halted() && !t.shown && t.pushed >= c.tokenOf(m) && t.pushed > 0 && c.now > j.haltedAt+c.horizon() {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *machine) newer(r *wire.Report) bool {
 	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
 }
@@ -111,7 +130,7 @@
 	}
 	if v.Status == 409 {
 		// Its session was not known to us: again with the right one.
-		m.session = max(m.session, v.Report.Session)
+		c.renewed(m, v.Report.Session)
 		m.pushAt = c.now
 		return
 	}
@@ -143,18 +162,13 @@
 // older than a start that rides in a report's answer.
 func (c *Core) takeIn(m *machine, r *wire.Report, viaReport bool) []wire.Command {
 	cmds := []wire.Command{}
+	zero := 0.0
 	order := func(op string, id taskID, attempt uint64, grace *float64) {
 		if len(cmds) < maxOrders {
 			cmds = append(cmds, wire.Command{Op: op, Task: id.String(), Attempt: attempt, GraceS: grace})
 		}
 	}
-	if r.Session > m.session {
-		m.images = nil
-		m.session = r.Session
-		for _, id := range m.on { // direct starts name the session
-			c.jobs[id.job].task(id.n).pushed = 0
-		}
-	}
+	c.renewed(m, r.Session)
 	m.seq = r.Seq
 	// Its session, or the answer that keeps it, is no later than now. Counting
 	// from our own answers alone took a machine for dead that had booted for
@@ -164,7 +178,15 @@
 		// Perhaps a copy from before our time that comes late: it shows where
 		// the worker was and nothing else. The answer, or a direct command,
 		// raises its token if it is there. Taken for news, such a copy proved
-		// tasks gone that had been started since.
+		// tasks gone that had been started since. What it must not run any more
+		// it is told at once: its lease is never renewed without that.
+		for _, tr := range r.Tasks {
+			if id, ok := parseTask(tr.Task); ok && tr.State != wire.Exited {
+				if j := c.jobs[id.job]; j != nil && j.halted() {
+					order(wire.Stop, id, tr.Attempt, &zero)
+				}
+			}
+		}
 		return cmds
 	}
 	m.seenAt, m.reported = c.now, r.Tasks
@@ -183,7 +205,6 @@
 		c.early(0)
 	}
 	seen := map[taskID]bool{}
-	zero := 0.0
 	// A direct start may be repeated long after it was carried out. As long as
 	// its worker holds the attempt that has no effect; once forgotten, it would
 	// start anew. So tasks are forgotten only under a token higher than that of
@@ -214,6 +235,8 @@
 		}
 		if !mine {
 			switch {
+			case j != nil && j.halted() && tr.State != wire.Exited:
+				order(wire.Stop, id, tr.Attempt, &zero)
 			case j != nil && !j.over && !j.durable(id.n):
 				// What is decided of it is being committed.
 			case tr.State == wire.Exited:
@@ -268,6 +291,33 @@
 	return cmds
 }
 
+// renewed takes in the session that a worker says it is in. Sessions only rise,
+// so a higher one proves gone whatever was seen in an earlier one, whoever says
+// it and however late; nothing told in the earlier one is carried out any more.
+// Proven by reports alone, tasks on a machine that only direct commands reached
+// were taken to run on for as long as that lasted.
+func (c *Core) renewed(m *machine, session uint64) {
+	if session <= m.session {
+		return
+	}
+	m.session, m.images = session, nil
+	for _, id := range m.tasks() {
+		j := c.jobs[id.job]
+		t := j.task(id.n)
+		t.pushed = 0 // direct starts name the session
+		if t.shown && c.ours(m) != nil && j.part == m.rec.Cur {
+			c.gone(j, id.n, "its worker's session ended")
+		}
+	}
+}
+
+// mute tells whether a machine answers direct commands while its reports have
+// long failed to come: its lease will run out. Two controllers that are cut off
+// may hold a report up for five seconds each.
+func (c *Core) mute(m *machine) bool {
+	return m.reportAt > 0 && c.now > m.reportAt+c.lately()+10*Second
+}
+
 // heed notes whether a worker does what it was told: one whose reports arrive
 // while answers and commands do not reach it needs to be told the same again.
 func (m *machine) heed(now int64, cmds []wire.Command) {
@@ -326,12 +376,16 @@
 	return j.spec.Kind == wire.Gang && !j.placing && !j.gathering() && j.nDone == 0 && j.nPlaced > 0 && j.nPlaced < j.spec.Tasks
 }
 
-func (c *Core) mustStop(j *job, t *task) bool { return j.cancelled || t.leaving > 0 || j.broken() }
+// halted tells whether nothing of a job may run any more: it is cancelled, or
+// another controller says that it told its user so.
+func (j *job) halted() bool { return j.cancelled || j.told }
+
+func (c *Core) mustStop(j *job, t *task) bool { return j.halted() || t.leaving > 0 || j.broken() }
 
 // graceOf is how long a task that must stop may save. What a cancelled or
 // broken job saved is of no use.
 func (c *Core) graceOf(j *job, t *task) float64 {
-	if j.cancelled || j.broken() || c.now > t.leaving+secs(t.grace+10) {
+	if j.halted() || j.broken() || c.now > t.leaving+secs(t.grace+10) {
 		return 0
 	}
 	return t.grace
@@ -453,7 +507,7 @@
 
 // mayStart tells whether a job's committed tasks here may be started.
 func (c *Core) mayStart(m *machine, j *job) bool {
-	return m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j))
+	return c.starts() && m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j))
 }
 
 // direct lists the commands worth sending at once: stops of tasks that must
--- /dev/null
+++ b/internal/core/meet_test.go
@@ -0,0 +1,142 @@
+package core
+
+import (
+	"slices"
+	"testing"
+
+	"spurmoor/internal/wire"
+)
+
+// holder is a controller that holds a part with one machine, on which one task
+// of a job is placed and committed.
+func holder(t *testing.T) (*Core, *part, *machine, *job) {
+	t.Helper()
+	c, _, _ := watched(t)
+	w := &c.set.Facts.Workers
+	w.ReportS, w.LeaseS, w.CancelS = 3, 20, 45
+	c.now = 100 * Second
+	c.lease, c.leasedAt, c.knownAt = 7, c.now, c.now
+	p := c.parts[0]
+	c.apply(p.key(), mustJSON(partRecord{Node: c.set.Node, Inc: c.inc}), 10)
+	c.applyRow(machineRow{Name: "n-1", Type: "g4", Zone: "alta", Cur: 0, Epoch: 1, Token: 11}, origin{1, 0, 1}, 11)
+	m, j := c.machines["n-1"], c.jobs["wk-000001"]
+	c.assign(j, 0, standing{placed, 1, "n-1"})
+	j.task(0).kept = j.task(0).standing
+	if !p.held || m == nil || len(m.on) != 1 {
+		t.Fatalf("held %t, machine %v", p.held, m)
+	}
+	return c, p, m, j
+}
+
+// reports has the machine report and gives the answer.
+func reports(c *Core, seq uint64, token uint64, tasks ...wire.TaskReport) Answer {
+	r := &wire.Report{Machine: "n-1", Addr: "10.1.0.1:9000", Type: "g4", Zone: "alta", Session: 1, Seq: seq, Token: token, Tasks: tasks}
+	for _, e := range c.Step(c.now, ReportIn{Req: 50 + seq, Report: r}) {
+		if a, ok := e.(Answer); ok && a.Req == 50+seq {
+			return a
+		}
+	}
+	return Answer{}
+}
+
+func stops(a Answer) bool {
+	o, ok := a.Body.(wire.Orders)
+	return ok && slices.ContainsFunc(o.Commands, func(c wire.Command) bool { return c.Op == wire.Stop && c.Task == "wk-000001/0" })
+}
+
+// TestFirstAnswerStops guards against a lease that a new holder renews without
+// telling the worker to stop what is cancelled: a worker that hears nothing after
+// that answer would run it for a lease more, past cancel_s.
+func TestFirstAnswerStops(t *testing.T) {
+	c, _, _, j := holder(t)
+	running := wire.TaskReport{Task: "wk-000001/0", Attempt: 1, State: wire.Running}
+	if a := reports(c, 1, 4, running); a.Status != 200 || stops(a) {
+		t.Fatalf("nothing is cancelled, answer %+v", a)
+	}
+	j.told = true // another controller said so; the state service says it later
+	if a := reports(c, 2, 4, running); a.Status != 200 || !stops(a) {
+		t.Errorf("the lease is renewed without a stop: %+v", a)
+	}
+	if a := reports(c, 3, 11, running); a.Status != 200 || !stops(a) {
+		t.Errorf("with our token the answer is %+v", a)
+	}
+}
+
+// TestDoubtfulStartEndsTheLease guards against a direct start without an answer
+// that is carried out long after its job was cancelled, while the state service
+// is away and the token can't rise: the machine's lease is not renewed any more.
+func TestDoubtfulStartEndsTheLease(t *testing.T) {
+	c, _, m, j := holder(t)
+	reports(c, 1, 4) // its session is known
+	j.task(0).pushed = c.tokenOf(m)
+	j.told, j.haltedAt = true, c.now
+	c.leasedAt, c.knownAt = c.now, c.now
+	if a := reports(c, 2, 11); a.Status != 200 {
+		t.Fatalf("within the horizon the answer is %+v", a)
+	}
+	c.now += c.horizon() + 1
+	c.leasedAt, c.knownAt = c.now, c.now
+	if a := reports(c, 3, 11); a.Status != 503 {
+		t.Errorf("past the horizon the answer is %+v", a)
+	}
+	if m.rec.Token, c.parts[0].ver = 12, 12; c.tokenOf(m) != 12 {
+		t.Fatal("the token did not rise")
+	}
+	if a := reports(c, 4, 11); a.Status != 200 {
+		t.Errorf("ruled out by a higher token, the answer is %+v", a)
+	}
+}
+
+// TestResignedTerm guards against a part that is held again under a term that was
+// given up: the deletion of its key may come late, and who takes the part then
+// counts on the silence that was promised.
+func TestResignedTerm(t *testing.T) {
+	c, p, _, _ := holder(t)
+	ver, rec := p.ver, mustJSON(partRecord{Node: c.set.Node, Inc: c.inc})
+	c.release(p, "test")
+	p.rec, p.ver = partRecord{}, 0 // as when everything is read again
+	c.apply(p.key(), rec, ver)
+	if p.held {
+		t.Error("held again under the term that was given up")
+	}
+	c.apply(p.key(), rec, ver+1)
+	if !p.held {
+		t.Error("not held under a new term")
+	}
+}
+
+// TestSlowAcceptance guards against an answer of an acceptance that was held up:
+// the job may have been cancelled by then, and its user told so elsewhere.
+func TestSlowAcceptance(t *testing.T) {
+	c, body, _ := watched(t)
+	delete(c.jobs, "wk-000001")
+	c.now = Second
+	for _, slow := range []bool{false, true} {
+		var txn StoreCall
+		req := c.nextCall + 1000
+		for _, e := range c.Step(c.now+1, Submit{Req: req, Body: body}) {
+			if call, ok := e.(StoreCall); ok && call.Op == OpTxn && call.Txn.Then[0].Put == jobKey+"wk-000001" {
+				txn = call
+			}
+			if call, ok := e.(StoreCall); ok && call.Op == OpFollow && call.WaitMs == 0 {
+				c.Step(c.now+1, &StoreReply{Call: call.Call, Status: 200, Follow: wire.Follow{Revision: c.rev}})
+			}
+		}
+		if txn.Call == 0 {
+			t.Fatal("no acceptance was sent")
+		}
+		at := c.now + 1
+		if slow {
+			at = c.now + readAge + 1
+		}
+		told := false
+		for _, e := range c.Step(at, &StoreReply{Call: txn.Call, Status: 200, Txn: wire.TxnResult{Revision: c.rev + 1}}) {
+			a, ok := e.(Answer)
+			told = told || ok && a.Req == req
+		}
+		if told == slow {
+			t.Errorf("slow %t: told at once %t", slow, told)
+		}
+		delete(c.jobs, "wk-000001")
+	}
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -128,7 +128,9 @@
 	spec      wire.Job
 	need      sched.Res
 	at        int64
-	cancelled bool // its user or, doomed, that of a job that it needs did
+	cancelled bool  // its user or, doomed, that of a job that it needs did
+	told      bool  // another controller says that it told its user so
+	haltedAt  int64 // since when, at the earliest, as far as we know
 	ver       uint64
 	part      int
 	chunks    map[int][]task
@@ -193,6 +195,7 @@
 	seq      uint64
 	ready    bool  // it reported with our token
 	seenAt   int64 // last heard
+	reportAt int64 // last report: where none comes its lease runs out, whatever else is heard
 	bornAt   int64 // rented
 	waitFrom int64 // since when we wait for its first report
 	upAt     int64 // first report
@@ -288,7 +291,7 @@
 			c.reading = false
 			// An answer held back by the network says how things were: its
 			// asker may have been told of a cancellation elsewhere since.
-			ok := c.followed(r) && c.now < began+readAge
+			ok := c.followed(r, began) && c.now < began+readAge
 			for _, f := range waiting {
 				f(ok)
 			}
@@ -296,16 +299,21 @@
 	}
 	if !c.follows && c.now >= c.followAt {
 		c.follows = true
-		c.callStore(StoreCall{Op: OpFollow, Since: c.rev, WaitMs: 5000}, func(r *StoreReply) {
+		began := c.now
+		c.callStore(StoreCall{Op: OpFollow, Since: c.rev, WaitMs: int(c.watchFor() / 1000)}, func(r *StoreReply) {
 			c.follows = false
 			c.followAt = c.now + 2*c.readGap()
-			if !c.followed(r) && c.synced {
+			if !c.followed(r, began) && c.synced {
 				c.followAt = c.now + c.jitter(Second/2)
 			}
 		})
 	}
 }
 
+// watchFor is how long a watch waits for a change: its answer says how things
+// were no earlier than when it was asked for, and the horizon counts from there.
+func (c *Core) watchFor() int64 { return max(Second/4, min(2*Second, c.horizon()/6)) }
+
 // readAge is how old a read may be when it is told to a user.
 const readAge = Second
 
@@ -345,6 +353,7 @@
 			c.listPage(r.Items.Items[n-1].Key)
 			return
 		}
+		began := c.now
 		c.callStore(StoreCall{Op: OpFollow, Since: l.rev, Urgent: true}, func(r *StoreReply) {
 			if r.Status != 200 {
 				fail()
@@ -362,7 +371,7 @@
 			}
 			c.relist = nil
 			c.rev = l.rev
-			c.followed(r)
+			c.followed(r, began)
 			c.synced = true
 			c.info("mirror read", "revision", c.rev, "keys", len(l.items), "jobs", len(c.jobs), "machines", len(c.machines))
 		})
@@ -393,9 +402,9 @@
 	}
 }
 
-// followed takes in a log of changes; it tells whether the mirror is now as
-// new as the answer.
-func (c *Core) followed(r *StoreReply) bool {
+// followed takes in a log of changes that was asked for at a time; it tells
+// whether the mirror is now as new as the answer.
+func (c *Core) followed(r *StoreReply, began int64) bool {
 	if r.Status == 410 {
 		c.synced = false
 		return false
@@ -416,6 +425,7 @@
 		}
 	}
 	c.rev = max(c.rev, r.Follow.Revision)
+	c.knownAt = max(c.knownAt, began)
 	return true
 }
 
@@ -480,6 +490,7 @@
 			c.link(j)
 		}
 		if j.cancelled && !was {
+			c.halt(j)
 			c.learn(id, withdrawn, 0)
 		}
 		c.mark(j)
@@ -517,6 +528,23 @@
 	}
 }
 
+// halt has a job's machines told at once that it must not run any more.
+func (c *Core) halt(j *job) {
+	if j.haltedAt == 0 {
+		j.haltedAt = c.knownAt
+	}
+	if j.nPlaced == 0 || !c.parts[j.part].held {
+		return
+	}
+	for _, k := range j.chunkList() {
+		for i := range j.chunks[k] {
+			if m := c.machines[j.chunks[k][i].machine]; m != nil {
+				m.pushAt = min(m.pushAt, c.now)
+			}
+		}
+	}
+}
+
 // applyEntry takes in an entry of a log that another controller writes.
 func (c *Core) applyEntry(p *part, e entry) {
 	c.logged(p, e)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -11,21 +11,23 @@
 // part is a share of the teams, held by one controller at a time. Its term
 // is the version of its key at take-over.
 type part struct {
-	idx     int
-	rec     partRecord
-	ver     uint64
-	held    bool
-	freeAt  int64
-	taking  bool
-	tookAt  int64
-	log     []entry
-	dirty   map[string]bool // jobs with changes to commit
-	ops     []*machine      // records to change
-	fresh   []*newMachines  // machines to record
-	flush   *flush
-	flushAt int64
-	tight   int                // how often its flushes were too large: half as much each time
-	rents   map[sched.Kind]int // asked for and not recorded yet
+	idx    int
+	rec    partRecord
+	ver    uint64
+	held   bool
+	freeAt int64
+	taking bool
+	tookAt int64
+	// resigned is the last term that we gave up by ourselves.
+	resigned uint64
+	log      []entry
+	dirty    map[string]bool // jobs with changes to commit
+	ops      []*machine      // records to change
+	fresh    []*newMachines  // machines to record
+	flush    *flush
+	flushAt  int64
+	tight    int                // how often its flushes were too large: half as much each time
+	rents    map[sched.Kind]int // asked for and not recorded yet
 }
 
 func (p *part) key() string { return partKey + strconv.Itoa(p.idx) }
@@ -33,13 +35,25 @@
 // Our lease, and how long its holder may act on it.
 func (c *Core) ttl() int64 { return secs(c.set.Ops.HoldTTLS) }
 
-// horizon is how long after the last renewal a holder still answers reports:
-// a task that is kept alive by an answer given then, though its job was
-// cancelled elsewhere, is gone within cancel_s all the same.
-func (c *Core) horizon() int64 {
-	w := c.set.Facts.Workers
-	gap := w.CancelS - w.LeaseS*1.002
-	return min(secs(gap-min(3, gap/4)), 40*Second)
+// horizon is how long a holder still answers reports after the last moment of
+// which its mirror shows all: a task that is kept alive by an answer given then,
+// though its job was cancelled elsewhere, is gone within cancel_s all the same.
+func (c *Core) horizon() int64 { return min(secs(c.set.Facts.Horizon()), 40*Second) }
+
+// certainAt is from when the horizon counts: the last moment at which we were
+// known to hold our lease and the mirror to be complete. A renewal alone does not
+// move it: one once succeeded while the watch still hung after a refusal, and a
+// cancellation told elsewhere in between outlived cancel_s in the outage after it.
+func (c *Core) certainAt() int64 { return min(c.leasedAt, c.knownAt) }
+
+// startAge is how old the mirror may be when a task is started: a cancellation
+// told elsewhere since is not in it.
+const startAge = 4 * Second
+
+// starts tells whether tasks may be started: a holder that lost the state
+// service goes on with what runs and starts nothing more.
+func (c *Core) starts() bool {
+	return c.now < c.leasedAt+c.ttl() && c.now < c.knownAt+startAge
 }
 
 // leaseBound is how long after a take-over a worker that the holder before
@@ -55,7 +69,7 @@
 // so only while the state service may be away for everyone: where another
 // controller has it, the workers move on to that one at once.
 func (c *Core) answers(p *part) bool {
-	if !p.held || c.leasedAt == 0 || c.now >= c.leasedAt+c.horizon() {
+	if !p.held || c.leasedAt == 0 || c.now >= c.certainAt()+c.horizon() {
 		return false
 	}
 	return c.now < c.leasedAt+c.ttl()+Second || !c.othersAble()
@@ -109,7 +123,9 @@
 
 // partChanged takes in a part's key; version 0: it has none.
 func (c *Core) partChanged(p *part, rec partRecord, ver uint64) {
-	mine := ver > 0 && rec.Node == c.set.Node && rec.Inc == c.inc && c.lease != 0
+	// Never again under a term that we gave up: the deletion of its key may still
+	// be carried out, and whoever takes the part then counts on our silence.
+	mine := ver > p.resigned && rec.Node == c.set.Node && rec.Inc == c.inc && c.lease != 0
 	if p.held && (!mine || ver != p.ver) {
 		c.lose(p, "taken or expired")
 	}
@@ -222,6 +238,7 @@
 // release gives a part up. We stop answering for it before the key goes.
 func (c *Core) release(p *part, why string) {
 	ver := p.ver
+	p.resigned = ver
 	c.lose(p, why)
 	p.freeAt = c.now + 3*Second
 	t := &txn{ok: func(uint64) {}, failed: func() {}}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -50,7 +50,7 @@
 	var due []*sched.Job
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
-		if j.spec.Kind != wire.Gang || j.over || j.cancelled || j.open > 0 || j.begun() || c.now < j.from()+secs(c.set.Ops.BeginWithinS/4) ||
+		if j.spec.Kind != wire.Gang || j.over || j.halted() || j.open > 0 || j.begun() || c.now < j.from()+secs(c.set.Ops.BeginWithinS/4) ||
 			c.outOfTurn(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
 			continue
 		}
@@ -179,7 +179,7 @@
 	shown := map[string]*sched.Job{}
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
-		if j.part != p.idx || j.over || j.cancelled || j.open > 0 {
+		if j.part != p.idx || j.over || j.halted() || j.open > 0 {
 			continue
 		}
 		sj := c.shown(j)
@@ -249,12 +249,12 @@
 		for _, i := range m.images {
 			sm.Images = append(sm.Images, i.name)
 		}
-		sm.Usable = m.ready && m.deaf == 0 && c.now < m.seenAt+c.lately()
+		sm.Usable = m.ready && m.deaf == 0 && c.now < m.seenAt+c.lately() && !c.mute(m)
 		switch {
 		case sm.Usable:
 		case m.upAt == 0 && m.bornAt+secs(m.typ.BootS*2) > c.now:
 			sm.ReadyAt = max(c.now+2*Second, m.bornAt+secs(m.typ.BootS))
-		case m.upAt > 0 && m.deaf == 0 && c.now < m.seenAt+c.lately():
+		case m.upAt > 0 && m.deaf == 0 && c.now < m.seenAt+c.lately() && !c.mute(m):
 			sm.ReadyAt = c.now + 3*Second
 		default:
 			continue
@@ -504,7 +504,37 @@
 	}
 	c.helloAt = c.now + Second
 	able := c.synced && !c.cutOff && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
-	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Form: Form}})
+	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.tellable(), Form: Form}})
+}
+
+// told is a cancellation that we confirmed to its user.
+type told struct {
+	id string
+	at int64
+}
+
+// A cancellation is told to the other controllers for a few seconds: its holder
+// may not see the state service, and its tasks then end sooner. Nothing rests on
+// it: an unknown or lost one is in effect within the horizon and a lease.
+const (
+	tellFor = 5 * Second
+	maxTold = 400
+)
+
+func (c *Core) tellCancelled(id string) {
+	if len(c.tolds) < maxTold {
+		c.tolds = append(c.tolds, told{id, c.now})
+	}
+	c.helloAt = min(c.helloAt, c.now)
+}
+
+func (c *Core) tellable() []string {
+	c.tolds = slices.DeleteFunc(c.tolds, func(t told) bool { return c.now > t.at+tellFor })
+	var ids []string
+	for _, t := range c.tolds {
+		ids = append(ids, t.id)
+	}
+	return ids
 }
 
 func (c *Core) hello(h *peer.Hello) {
@@ -521,6 +551,13 @@
 	for _, i := range h.Idle {
 		was.idle[i.Machine] = true
 	}
+	for _, id := range h.Cancelled {
+		if j := c.jobs[id]; j != nil && !j.over && !j.halted() {
+			c.info("cancelled, says another controller", "job", id, "by", h.Node)
+			j.told = true
+			c.halt(j)
+		}
+	}
 	if c.synced {
 		c.heed(h.Asks)
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -157,16 +157,17 @@
 	c.spend(1)
 	req := &wire.Txn{If: []wire.Guard{{Key: jobKey + spec.ID}, {Key: overKey + spec.ID}},
 		Then: []wire.Write{{Put: jobKey + spec.ID, Value: rec}}}
+	sent := c.now
 	c.callStore(StoreCall{Op: OpTxn, Txn: req}, func(r *StoreReply) {
 		c.accepts--
 		switch r.Status {
 		case 200:
 			c.applyOwn(jobKey+spec.ID, rec, r.Txn.Revision)
-			if len(spec.Needs) == 0 {
+			if len(spec.Needs) == 0 && c.now < sent+readAge {
 				c.answer(reqID, 201, wire.JobStatus{ID: spec.ID, State: wire.Pending})
 				return
 			}
-			// What it needs may have been cancelled meanwhile, told by another.
+			// It, or what it needs, may have been cancelled meanwhile, told by another.
 			c.lookup(spec.ID, func(f found, s wire.JobStatus) {
 				if f != known {
 					c.refuse(reqID, 503, "the state service did not answer", 1)
@@ -267,6 +268,7 @@
 				switch r.Status {
 				case 200:
 					c.applyOwn(jobKey+v.ID, rec, r.Txn.Revision)
+					c.tellCancelled(v.ID)
 					c.answer(v.Req, 200, wire.JobStatus{ID: v.ID, State: wire.Cancelled})
 				case 409:
 					c.tryCancel(v, tries-1)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,7 +36,9 @@
 	StoreOK bool
 	Idle    []Idle
 	Asks    []Ask
-	Form    int // of what the sender reads and writes in the state service; 0: of the first versions
+	// Cancelled are jobs whose users this controller told so in the last seconds.
+	Cancelled []string
+	Form      int // of what the sender reads and writes in the state service; 0: of the first versions
 }
 
 // Encode gives the message's bytes.
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -133,6 +133,9 @@
 	if c.told(u, state); state == wire.Cancelled {
 		if _, ok := c.killed[u.id]; !ok {
 			c.killed[u.id] = c.w.now
+			if h := c.w.holder(c.w.sc.partOf(u)); h != nil && (h.refused || h.watchHangs || h.cut["store"] || h.cut["all"]) {
+				c.w.happened("cancellations that the holder can't see")
+			}
 			c.w.after(int64(c.w.sc.CancelS*float64(second)), func() {
 				for n := range max(1, u.job.Tasks) {
 					if id := fmt.Sprintf("%s/%d", u.id, n); len(c.on[id]) > 0 {
@@ -188,6 +191,7 @@
 	if (state == wire.Done || state == wire.Cancelled) && u.final == "" {
 		u.final, u.finalAt = state, c.w.now
 		c.ended[u.id] = c.w.now
+		u.closeLooks()
 	}
 	u.told = state
 }
@@ -213,6 +217,12 @@
 			c.breaks("budget", fmt.Sprintf("%d %s, at most %d", n.had, n.what, n.most))
 		}
 	}
+	for _, what := range slices.Sorted(maps.Keys(c.w.sc.Least)) {
+		if n := c.w.seen[what]; n < c.w.sc.Least[what] {
+			c.breaks("scenario", fmt.Sprintf("%d %s, at least %d", n, what, c.w.sc.Least[what]))
+		}
+	}
+	c.w.say("brought about: %v", c.w.seen)
 	c.known()
 	if !c.w.sc.Unserved {
 		c.served()
@@ -224,6 +234,9 @@
 				if u.id != id {
 					continue
 				}
+				if e.State == wire.Done && u.told == wire.Cancelled && (u.calledOff || u.before(func(o *user) bool { return o.calledOff })) {
+					continue // a trouble called it, or one that it needs, off
+				}
 				if u.told != e.State {
 					c.breaks("expected", fmt.Sprintf("%s %s, is %q", id, e.State, u.told))
 				} else if e.ByS > 0 && u.finalAt > start+int64(e.ByS*float64(second)) {
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -49,6 +49,8 @@
 	Breaks        string     `toml:"breaks"` // the rule that a deliberate fault must break
 	Said          string     `toml:"said"`   // a line that the log must hold
 	Unsaid        string     `toml:"unsaid"` // a line that it must not hold
+	// Least is how often what a trouble is to bring about must have happened.
+	Least map[string]int `toml:"least"`
 	// Next is what the state service admits after the fault "limits", and what
 	// the settings of a controller name from its fault "upgrade" on.
 	Next struct {
@@ -88,6 +90,7 @@
 	CPUs        float64 `toml:"cpus"`
 	GPUs        float64 `toml:"gpus"`
 	RunS        float64 `toml:"run_s"`
+	StepS       float64 `toml:"step_s"` // each further task runs that much longer
 	EstimateS   float64 `toml:"estimate_s"`
 	ImageGB     float64 `toml:"image_gb"`
 	CheckpointS float64 `toml:"checkpoint_s"`
@@ -116,6 +119,10 @@
 	// Count is how many machines it befalls, those with most tasks first.
 	Count int    `toml:"count"`
 	Zone  string `toml:"zone"` // where those machines are, or which zone is cut off
+	// Share, Mode and HangS are those of the troubles in troubles.go.
+	Share float64 `toml:"share"`
+	Mode  string  `toml:"mode"`
+	HangS float64 `toml:"hang_s"`
 }
 
 // Random draws faults from the seed.
@@ -152,7 +159,7 @@
 		rng := rand.New(rand.NewPCG(s.Seed, 77))
 		for range r.Faults {
 			s.Faults = append(s.Faults, Fault{AtS: r.FromS + rng.Float64()*(r.ToS-r.FromS), ForS: 1 + rng.Float64()*25,
-				Kind: r.Kinds[rng.IntN(len(r.Kinds))], Node: rng.IntN(3), Hold: rng.IntN(2) == 0, Zone: zones[rng.IntN(2)]})
+				Kind: r.Kinds[rng.IntN(len(r.Kinds))], HangS: float64(rng.IntN(2)) * 12, Node: rng.IntN(3), Hold: rng.IntN(2) == 0, Zone: zones[rng.IntN(2)]})
 		}
 	}
 	return s, nil
@@ -160,6 +167,15 @@
 
 var zones = []string{"alta", "baja"}
 
+// partOf gives the part that a user's team is dealt to.
+func (s *Scenario) partOf(u *user) int {
+	set, err := s.settingsFor(0, false)
+	if err != nil {
+		return 0
+	}
+	return set.TeamPart[u.job.spec(0).Team]
+}
+
 // spec gives a job as its user would submit it.
 func (j Job) spec(n int) wire.Job {
 	w := wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: j.Class, Team: j.Team, Kind: j.Kind, Priority: j.Priority, Tasks: max(1, j.Tasks),
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -123,6 +123,7 @@
 			}
 			continue
 		}
+		s.w.led(x.Put, x.Value)
 		s.keys[x.Put] = &value{x.Value, s.rev, x.Lease}
 		s.log = append(s.log, wire.Event{Put: x.Put, Value: x.Value, Version: s.rev})
 	}
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -7,19 +7,20 @@
 
 // user stands in for the owner of one job.
 type user struct {
-	w        *World
-	id       string
-	body     []byte
-	job      Job
-	needs    []*user
-	accepted bool
-	final    string
-	finalAt  int64
-	told     string
-	asked    bool // to cancel
-	tries    int
-	sent     int64
-	heard    int64 // when a question about it was last answered
+	w         *World
+	id        string
+	body      []byte
+	job       Job
+	needs     []*user
+	accepted  bool
+	final     string
+	finalAt   int64
+	told      string
+	asked     bool // to cancel
+	calledOff bool // by a trouble, not by the scenario
+	tries     int
+	sent      int64
+	heard     int64 // when a question about it was last answered
 }
 
 func (w *World) addUser(j Job, n int, at int64) {
@@ -89,6 +90,7 @@
 		}
 		if !u.accepted {
 			u.accepted = true
+			u.closeLooks()
 			u.w.after(5*second, u.poll)
 			u.w.again(u.submit)
 		}
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -23,6 +23,7 @@
 	hung     bool
 	sick     bool
 	deaf     bool // its reports arrive, answers and commands do not reach it
+	mute     bool // it reaches no controller, commands reach it
 	missed   []func()
 	session  uint64
 	seq      uint64
@@ -171,6 +172,7 @@
 		}
 	}
 	w.after(4*second, func() { finish(w.now+second, (wk.node+1)%3) })
+	w.copyLate(r)
 	if w.sc.Copies > 0 && w.rng.Float64() < w.sc.Copies {
 		late := *r
 		w.after(second+w.rng.Int64N(int64(2*w.sc.LeaseS*float64(second))), func() {
@@ -181,6 +183,7 @@
 	}
 	answered := func(a core.Answer) {
 		if wk.deaf {
+			w.happened("answers to deaf machines")
 			return
 		}
 		wk.awake(func() {
@@ -214,7 +217,10 @@
 		w.live.report(wk.node, r, answered)
 		return
 	}
-	if !n.up {
+	if wk.mute {
+		w.happened("reports of mute machines")
+	}
+	if !n.up || wk.mute {
 		w.after(second/100, func() { finish(w.now+second, (wk.node+1)%3); wk.nextAt = max(wk.nextAt, w.now+second) })
 		return
 	}
@@ -344,10 +350,16 @@
 		return
 	}
 	t.base = t.w.w.saved[t.key(truth)]
-	left := int64(truth.RunS*float64(second)) - t.base
+	left := int64((truth.RunS+truth.StepS*t.index())*float64(second)) - t.base
 	t.later(max(left, second/10), func() { t.exit(wire.Done) })
 }
 
+// index is the task's number within its job.
+func (t *wtask) index() float64 {
+	n, _ := strconv.Atoi(t.id[strings.IndexByte(t.id, '/')+1:])
+	return float64(n)
+}
+
 // key is what progress is saved under: a gang's is the job's.
 func (t *wtask) key(truth Job) string {
 	if truth.Kind == wire.Gang {
@@ -419,6 +431,9 @@
 	t.state, t.why = wire.Exited, why
 	t.off()
 	t.w.changed()
+	if why == wire.Done {
+		t.w.w.ends(t.job)
+	}
 	if running && why != wire.Done {
 		t.tellMates()
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -40,22 +40,23 @@
 
 // node is one controller: its core and what reaches it.
 type node struct {
-	i         int
-	name      string
-	core      *core.Core
-	up        bool
-	epoch     int
-	refused   bool // by the state service alone
-	cut       map[string]bool
-	hold      bool
-	held      []func()
-	reqs      map[uint64]func(core.Answer)
-	nextReq   uint64
-	pushing   int   // direct commands out
-	pushes    int   // that may be out at a time
-	announced bool  // its settings name the next limits
-	frozen    bool  // stands still while clocks run
-	queued    []any // inputs that came meanwhile
+	i          int
+	name       string
+	core       *core.Core
+	up         bool
+	epoch      int
+	refused    bool // by the state service alone
+	cut        map[string]bool
+	hold       bool
+	held       []func()
+	reqs       map[uint64]func(core.Answer)
+	nextReq    uint64
+	pushing    int   // direct commands out
+	pushes     int   // that may be out at a time
+	announced  bool  // its settings name the next limits
+	frozen     bool  // stands still while clocks run
+	watchHangs bool  // its watch's connection does
+	queued     []any // inputs that came meanwhile
 }
 
 func (n *node) zone() string { return zones[n.i%2] }
@@ -86,7 +87,15 @@
 	crossed  []func()
 	muted    string // job whose user gets no answers
 	calm     int64  // when the last trouble was over
-	Log      []string
+	// what troubles.go brings about
+	lateWrites  share
+	lateReports share
+	cancelAtEnd share
+	looksUntil  int64
+	forNext     []func() // reports kept for the next leader
+	leader      map[string]string
+	seen        map[string]int
+	Log         []string
 }
 
 // live carries what the workers say over real sockets; nil in simulated time.
@@ -97,7 +106,8 @@
 
 func newWorld(sc *Scenario, l live) *World {
 	w := &World{sc: sc, now: 1_700_000_000 * second, rng: rand.New(rand.NewPCG(sc.Seed, 1)),
-		saved: map[string]int64{}, results: map[string]bool{}, truth: map[string]Job{}, live: l, byAddr: map[string]*worker{}, byID: map[string]*user{}}
+		saved: map[string]int64{}, results: map[string]bool{}, truth: map[string]Job{}, live: l, byAddr: map[string]*worker{}, byID: map[string]*user{},
+		leader: map[string]string{}, seen: map[string]int{}}
 	w.check = newChecker(w)
 	w.store = newStore(w)
 	w.cloud = newCloud(w)
@@ -253,6 +263,9 @@
 	}
 	switch v := e.(type) {
 	case core.Answer:
+		if o, ok := v.Body.(wire.Orders); ok {
+			w.check.ordered(n, o.Commands)
+		}
 		if f := n.reqs[v.Req]; f != nil {
 			delete(n.reqs, v.Req)
 			f(v)
@@ -265,6 +278,9 @@
 				back(&core.StoreReply{Call: v.Call})
 			}
 		})
+		if w.txn(n, v) {
+			return
+		}
 		late := int64(0)
 		if v.Op == core.OpTxn && w.rng.Float64() < w.sc.Late {
 			late = w.rng.Int64N(8 * second)
@@ -275,7 +291,7 @@
 					w.again(func() { w.store.call(n, v, func(*core.StoreReply) {}) })
 				}
 				w.store.call(n, v, func(r *core.StoreReply) {
-					if v.Op != core.OpFollow && w.rng.Float64() < w.sc.Lost {
+					if v.Op != core.OpFollow && w.rng.Float64() < w.sc.Lost || v.WaitMs > 0 && n.watchHangs {
 						return
 					}
 					w.carry(n, "store", func() {
@@ -312,6 +328,7 @@
 			})
 		})
 	case core.Push:
+		w.check.ordered(n, v.Body.Commands)
 		if n.pushing >= n.pushes {
 			back(core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts, Unsent: true})
 			return
@@ -392,6 +409,9 @@
 			}
 		})
 	}
+	if w.trouble(f, n, lasts) {
+		return
+	}
 	kind, arg, _ := strings.Cut(f.Kind, ":")
 	switch kind {
 	case "crash":
@@ -469,7 +489,7 @@
 		}
 	case "mute": // a deliberate breach: nobody answers one job's user any more
 		w.muted = fmt.Sprintf("wk-%06d", f.Node)
-	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental", "machine_deaf", "machine_blink":
+	case "machine_die", "machine_hang", "machine_sick", "spot_notice", "late_rental", "machine_deaf", "machine_mute", "machine_blink":
 		for range max(1, f.Count) {
 			w.machineFault(kind, f.Zone, lasts)
 		}
@@ -509,7 +529,7 @@
 	}
 	var busy *worker
 	for _, wk := range w.workers {
-		if wk.up && !wk.gone && !wk.hung && !wk.deaf && !wk.sick && (kind != "spot_notice" || wk.spot) && (zone == "" || wk.zone == zone) && (busy == nil || len(wk.tasks) > len(busy.tasks)) {
+		if wk.up && !wk.gone && !wk.hung && !wk.deaf && !wk.mute && !wk.sick && (kind != "spot_notice" || wk.spot) && (zone == "" || wk.zone == zone) && (busy == nil || len(wk.tasks) > len(busy.tasks)) {
 			busy = wk
 		}
 	}
@@ -526,6 +546,9 @@
 	case "machine_deaf":
 		busy.deaf = true
 		w.after(lasts, func() { busy.deaf = false })
+	case "machine_mute":
+		busy.mute = true
+		w.after(lasts, func() { busy.mute = false })
 	case "machine_blink":
 		busy.blink()
 	case "machine_sick":
