A job that waits beside another part's room is given the machine once it is empty; the checker sees starvation

Asked for after a sixth of begin_within_s where nothing can be rented, one machine at a time, nothing is stopped for it.

--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -140,3 +140,39 @@
 		delete(c.jobs, "wk-000001")
 	}
 }
+
+// TestStartGuardsItsJob guards against a start that is committed after its job's
+// cancellation was: each flush with a start of a job guards that job's key.
+func TestStartGuardsItsJob(t *testing.T) {
+	c, p, m, j := holder(t)
+	c.assign(j, 0, standing{})
+	j.task(0).kept = standing{}
+	c.change(j, 0, standing{placed, 2, m.name})
+	f := c.build(p, 10)
+	if f == nil || !slices.Contains(f.req.If, wire.Guard{Key: jobKey + j.id, Version: j.ver}) {
+		t.Errorf("a start is committed without its job's key: %+v", f)
+	}
+}
+
+// TestDoubtfulStartRaisesTheToken guards against a direct start that had no answer
+// and comes minutes late: its machine's row is written anew, with that write's
+// revision as the least token.
+func TestDoubtfulStartRaisesTheToken(t *testing.T) {
+	c, p, m, _ := holder(t)
+	reports(c, 1, 11)
+	token := c.tokenOf(m)
+	c.Step(c.now, Pushed{Machine: m.name, Token: token, Starts: true})
+	for range 3 { // a tick comes each tenth of a second
+		c.Step(c.now+Second/10, Tick{})
+	}
+	f := p.flush
+	if f == nil || !slices.ContainsFunc(f.entries, func(e entry) bool {
+		return slices.ContainsFunc(e.rows, func(r machineRow) bool { return r.Name == m.name && r.Token == 0 })
+	}) {
+		t.Fatalf("no new token is recorded: %+v", f)
+	}
+	c.flushed(p, 40)
+	if c.tokenOf(m) != 40 {
+		t.Errorf("the token is %d, was %d", c.tokenOf(m), token)
+	}
+}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -28,6 +28,7 @@
 	flushAt  int64
 	tight    int                // how often its flushes were too large: half as much each time
 	rents    map[sched.Kind]int // asked for and not recorded yet
+	spare    string             // machine of another part that is to be given to us once it is empty
 }
 
 func (p *part) key() string { return partKey + strconv.Itoa(p.idx) }
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -381,6 +381,9 @@
 			c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Tier: wire.Tier(jobs[m.claim].spec.Priority), Lent: c.tier(jobs[m.claim]), Guaranteed: m.claimG})
 		}
 	}
+	if m := c.spare(p, jobs, plan.Why); m != nil {
+		c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Spare: true})
+	}
 	if len(c.asks) > 0 {
 		c.helloAt = c.now
 		c.heed(c.asks)
@@ -395,6 +398,58 @@
 	}
 }
 
+// spare is a machine of another part with room for a job of ours that nothing can
+// be rented for, and of which nothing has begun after a sixth of begin_within_s.
+// A machine has one holder, so room beside another part's tasks is no use to us: in
+// a small, full cluster a team under its limit waited for two minutes beside it.
+// It is asked for to be given when its tasks have ended; one at a time.
+func (c *Core) spare(p *part, jobs map[string]*job, why map[string]string) *machine {
+	var first *job
+	for _, id := range sorted(jobs) {
+		j := jobs[id]
+		if why[id] == sched.NothingToRent && !j.begun() && (j.spec.Kind == wire.Array || j.spec.Tasks == 1) &&
+			c.now > j.from()+secs(c.set.Ops.BeginWithinS/6) && !c.outOfTurn(j) && (first == nil || j.at < first.at) {
+			first = j
+		}
+	}
+	if first == nil {
+		p.spare = ""
+		return nil
+	}
+	var best *machine
+	var soonest int64
+	for _, m := range c.order {
+		if m.rec.Cur == p.idx || m.typ == nil || m.rec.Gone || m.claim != "" || first.avoid[m.name] || c.promisedTo(m) >= 0 ||
+			!sched.Allowed(&first.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) {
+			continue
+		}
+		sm := c.shownMachine(m)
+		if !sm.Free.Fits(first.need) {
+			if m.name == p.spare {
+				return m // what was asked for goes on emptying
+			}
+			continue
+		}
+		c.uses(sm, m, nil)
+		end := c.now
+		for _, u := range sm.Uses {
+			end = max(end, u.End)
+		}
+		if m.name == p.spare {
+			return m
+		}
+		if best == nil || end < soonest {
+			best, soonest = m, end
+		}
+	}
+	p.spare = ""
+	if best != nil {
+		p.spare = best.name
+		c.info("spare machine asked for", "for", first.id, "machine", best.name, "part", best.rec.Cur, "tasks", len(best.on))
+	}
+	return best
+}
+
 func (j *job) lastAttempt() uint64 {
 	var last uint64
 	for _, ch := range j.chunks {
@@ -449,6 +504,9 @@
 		case c.lendable(m):
 			c.lend(m, a.Part)
 		case m.moveTo >= 0 || c.promisedTo(m) >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
+		case a.Spare:
+			c.info("spare machine is given once it is empty", "machine", m.name, "to", a.Part, "tasks", len(m.on))
+			m.moveTo, m.evict = a.Part, false
 		case a.Reclaim && m.rec.Home == a.Part:
 			c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
 			m.moveTo, m.evict = a.Part, false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -25,7 +25,8 @@
 	Reclaim    bool
 	Tier       int
 	Guaranteed bool
-	Lent       int // tier lent to the job by one that needs it, where that is higher
+	Spare      bool // for a job that waits beside its room: to be given as its tasks end
+	Lent       int  // tier lent to the job by one that needs it, where that is higher
 }
 
 // Hello is sent to every other controller about once a second. It says
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -257,6 +257,82 @@
 	}
 }
 
+// starving watches, once all troubles are over, for jobs that wait while a machine
+// that fits has room and their team is under its limit.
+func (c *checker) starving() {
+	if c.w.now < c.w.calm {
+		return
+	}
+	for _, u := range c.w.users {
+		if !u.accepted || u.asked || u.final != "" || u.job.Bad || u.withdrawn() || u.before(func(o *user) bool { return o.final != wire.Done }) || !c.fits(u) {
+			u.roomSince = 0
+			continue
+		}
+		if u.roomSince == 0 {
+			u.roomSince = c.w.now
+		}
+		if c.w.now > u.roomSince+90*second {
+			c.breaks("starved", u.id+" waits for 90 s beside room")
+			u.roomSince = c.w.now
+		}
+	}
+}
+
+// fits tells whether a job has tasks that wait and that machines have room for:
+// one of an array, all of a gang or service.
+func (c *checker) fits(u *user) bool {
+	spec := u.job.spec(0)
+	waits, on := 0, 0
+	for n := range spec.Tasks {
+		id := fmt.Sprintf("%s/%d", u.id, n)
+		switch {
+		case len(c.on[id]) > 0:
+			on++
+		case !c.w.results[id]:
+			waits++
+		}
+	}
+	if waits == 0 || on > 0 {
+		return false // it runs
+	}
+	need := 1
+	if spec.Kind != wire.Array {
+		need = waits
+	}
+	for _, t := range c.w.sc.Teams {
+		if t.Name == spec.Team && t.GPUsMax > 0 && c.used[t.Name]+float64(need)*spec.GPUs > t.GPUsMax+1e-9 {
+			return false
+		}
+	}
+	room := map[string]int{}
+	sum := 0
+	for _, wk := range c.w.workers {
+		if !wk.up || wk.gone || wk.hung || wk.deaf || wk.mute || wk.sick || wk.noticeAt > 0 || spec.Types != nil && spec.Types[0] != wk.typ.Name || spec.Zone != "" && spec.Zone != wk.zone || wk.spot && !spec.Spot {
+			continue
+		}
+		cpus, gpus := wk.typ.CPUs, wk.typ.GPUs
+		for _, t := range wk.tasks {
+			if t.state != wire.Exited {
+				s := c.w.truth[t.job].spec(0)
+				cpus, gpus = cpus-s.CPUs, gpus-s.GPUs
+			}
+		}
+		for cpus >= spec.CPUs-1e-9 && gpus >= spec.GPUs-1e-9 && sum < need {
+			cpus, gpus = cpus-spec.CPUs, gpus-spec.GPUs
+			if spec.Spread && room[wk.zone] >= (spec.Tasks+1)/2 {
+				break
+			}
+			room[wk.zone]++
+			if !spec.OneZone {
+				sum++
+			} else {
+				sum = max(sum, room[wk.zone])
+			}
+		}
+	}
+	return sum >= need
+}
+
 // served: at least half of every class, of every team and of every class's
 // largest jobs is done, or runs if it is a service, and the largest began
 // within four minutes.
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -156,12 +156,12 @@
 }
 
 // ends is told of each task that completed: the job's user may call it off at
-// that very moment.
+// that very moment, or while its end is being recorded.
 func (w *World) ends(job string) {
 	if u := w.byID[job]; u != nil && !u.asked && u.final == "" && w.check.complete(u) && w.cancelAtEnd.hits(w) {
 		w.happened("cancelled at the end")
 		u.calledOff = true
-		u.cancel()
+		w.after(w.rng.Int64N(2)*w.rng.Int64N(3*second), u.cancel)
 	}
 }
 
--- a/internal/rehearsal/users.go
+++ b/internal/rehearsal/users.go
@@ -20,6 +20,7 @@
 	calledOff bool // by a trouble, not by the scenario
 	tries     int
 	sent      int64
+	roomSince int64 // since when it waits though there is room for it
 	heard     int64 // when a question about it was last answered
 }
 
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -149,6 +149,7 @@
 			}
 		}
 		w.machines = max(w.machines, up)
+		w.check.starving()
 	})
 	for _, j := range sc.Jobs {
 		for k := range max(1, j.Count) {
@@ -493,7 +494,7 @@
 		for range max(1, f.Count) {
 			w.machineFault(kind, f.Zone, lasts)
 		}
-	case "early_start", "orphan", "unasked":
+	case "early_start", "orphan", "unasked", "older_look", "bad_accepted", "start_told", "held_back":
 		// Deliberate breaches too, of the job with the number in Node.
 		u := w.byID[fmt.Sprintf("wk-%06d", f.Node)]
 		switch kind {
@@ -504,6 +505,16 @@
 			w.check.told(u, wire.Pending)
 		case "unasked":
 			w.check.told(u, wire.Cancelled)
+		case "older_look":
+			w.check.looked(u)(core.Answer{Status: 200, Body: wire.JobStatus{ID: u.id, State: wire.Running}}, true, u.final)
+		case "bad_accepted":
+			w.check.refused(u.id, core.Answer{Status: 201}, 422)
+		case "start_told":
+			w.check.ordered(n, []wire.Command{{Op: wire.Start, Task: u.id + "/0", Attempt: 1}})
+		case "held_back":
+			// A job that no controller knows of, beside room on the other's machine.
+			w.truth["wk-999999"] = u.job
+			w.users = append(w.users, &user{w: w, id: "wk-999999", job: u.job, accepted: true, sent: w.now, heard: w.now})
 		}
 	case "double_start":
 		// Not a trouble of the world but a deliberate breach, to show that
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -7,6 +7,9 @@
 	"spurmoor/internal/wire"
 )
 
+// NothingToRent is why a job waits that nothing can be rented for.
+const NothingToRent = "no room, and no machine to rent for it"
+
 // demand borrows or rents for what neither runs nor fits soon. Room is dealt
 // out in rank order: what is free or boots, then what ends before a rented
 // machine would be up, or early enough for a stated deadline.
@@ -100,7 +103,7 @@
 			work := int64(left) * int64(j.Spec.EstimateS*float64(Second))
 			queue += max(work*j.Need.GPU/max(1, gpus), work*j.Need.CPU/max(1, cpus))
 			p.ends(j, p.Now+queue+int64(j.Spec.EstimateS*float64(Second)))
-			p.plan.Why[j.ID] = "no room, and no machine to rent for it"
+			p.plan.Why[j.ID] = NothingToRent
 		}
 	}
 	p.rentals(rent, order)
