What was seen before a part was held by another proves nothing; overdue machines are told from late ones

A task counts as seen only since the take-over (TestSessionOfAnotherHolder, seen to fail without).

A machine that is not up is overdue once it takes twice its type's time and two and a half times what its like took of late, one of which was rented no earlier; where none is up all are late and are waited for. An overdue one goes back as soon as nothing waits.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -215,6 +215,7 @@
 	rentSeq   int
 	graves    map[string]int64 // machines lately deleted
 	refused   map[sched.Kind]int64
+	boots     map[string]boots // by type
 	listAt    int64
 	listing   bool
 	listed    map[string]*listedMachine
@@ -262,7 +263,7 @@
 		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
 		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*need{}, forms: map[string]int{}, pages: map[string]catalogPage{}, tombs: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
-		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, listed: map[string]*listedMachine{},
+		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{},
 		typeOf: map[string]*wire.MachineType{}, hellos: map[string]*heard{}, why: map[string]string{},
 	}
 	for i := range set.Ops.Parts {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -192,6 +192,7 @@
 	m.seenAt, m.reported = c.now, r.Tasks
 	if m.upAt == 0 {
 		m.upAt, m.idleAt = c.now, c.now
+		c.noteBoot(m)
 		c.info("machine up", "machine", m.name, "type", m.rec.Type, "zone", m.rec.Zone, "spot", m.rec.Spot, "after_s", (c.now-m.bornAt)/Second)
 		c.early(0)
 	}
@@ -663,8 +664,10 @@
 		boot = m.typ.BootS
 	}
 	switch {
-	case m.upAt == 0 && c.now > m.bornAt+secs(boot*3+20) && c.now > m.waitFrom+c.silence()+8*Second:
+	case c.overdue(m) && c.now > m.bornAt+secs(boot*3+20) && c.now > m.waitFrom+c.silence()+8*Second:
 		c.remove(m, "never came up")
+	case c.overdue(m) && !c.parts[m.rec.Cur].short && c.now > m.waitFrom+c.silence()+8*Second:
+		c.remove(m, "overdue, and nothing waits for it")
 	case m.upAt > 0 && !cut && c.now > m.seenAt+c.silence():
 		c.remove(m, "silent")
 	case m.deaf > 0 && c.now > m.deaf+c.silence()+secs(c.set.Facts.Workers.ReportS):
@@ -702,6 +705,44 @@
 	}
 }
 
+// boots is what is seen of how long machines of a type take to come up.
+type boots struct {
+	born int64 // when the youngest that is up was rented
+	took int64 // the quick ones of late
+}
+
+func (c *Core) noteBoot(m *machine) {
+	b := c.boots[m.rec.Type]
+	b.born = max(b.born, m.bornAt)
+	// Not of one that another controller saw come up.
+	if took := c.now - m.bornAt; m.waitFrom < m.bornAt+5*Second {
+		if b.took == 0 || took < b.took {
+			b.took = took
+		} else {
+			b.took += (took - b.took) / 4
+		}
+	}
+	c.boots[m.rec.Type] = b
+}
+
+// overdue tells whether a machine that is not up does not count as room that comes
+// any more: it takes twice as long as its type does, and far longer than others of it
+// took of late, one of which was rented no earlier. Where none is up, all are late,
+// and renting as many again would bring nothing sooner.
+func (c *Core) overdue(m *machine) bool {
+	if m.upAt > 0 {
+		return false
+	}
+	if m.typ == nil {
+		return c.now > m.bornAt+180*Second
+	}
+	age, boot := c.now-m.bornAt, secs(m.typ.BootS)
+	if b := c.boots[m.rec.Type]; b.took > 0 && b.born >= m.bornAt-5*Second {
+		return age > max(2*boot, b.took*5/2)
+	}
+	return age > 3*boot
+}
+
 // keepPromise empties a machine that is kept for a gang that is due, where what
 // runs is of a lower tier and the gang's other machines are about ready, and
 // lends it to the gang's part.
--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -176,3 +176,24 @@
 		t.Errorf("the token is %d, was %d", c.tokenOf(m), token)
 	}
 }
+
+// TestSessionOfAnotherHolder guards against a session that began under another
+// holder and is news to us: what that one started in it still runs. Only what was
+// seen since our take-over, in an earlier session, is proven gone.
+func TestSessionOfAnotherHolder(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		c, p, m, j := holder(t)
+		reports(c, 1, 11, wire.TaskReport{Task: "wk-000001/0", Attempt: 1, State: wire.Running})
+		if !j.task(0).shown {
+			t.Fatal("the task was not seen")
+		}
+		if away { // lost and taken again
+			c.lose(p, "test")
+			c.apply(p.key(), mustJSON(partRecord{Node: c.set.Node, Inc: c.inc}), 20)
+		}
+		c.renewed(m, 2)
+		if gone := len(m.on) == 0; gone == away {
+			t.Errorf("held by another meanwhile %t: taken for gone %t", away, gone)
+		}
+	}
+}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -28,6 +28,7 @@
 	flushAt  int64
 	tight    int                // how often its flushes were too large: half as much each time
 	rents    map[sched.Kind]int // asked for and not recorded yet
+	short    bool               // jobs waited at its last cycle
 	spare    string             // machine of another part that is to be given to us once it is empty
 }
 
@@ -159,6 +160,12 @@
 	m.deadAt = max(m.deadAt, c.now+c.leaseBound())
 	m.seenAt, m.waitFrom = max(m.seenAt, c.now), c.now
 	m.idleAt = c.now
+	// Started anew perhaps, by that holder, in a session that we know nothing of:
+	// taken for seen by us they were proven gone by that session (random days).
+	for _, id := range m.on {
+		t := c.jobs[id.job].task(id.n)
+		t.shown, t.reported = false, ""
+	}
 	m.delSent, m.delOK = false, false
 	m.told, m.deaf = nil, 0
 	m.op, m.moveTo = opNone, -1
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -71,7 +71,7 @@
 	}
 	var list []*sched.Machine
 	for _, m := range c.order {
-		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 || m.deaf > 0 || m.upAt == 0 && c.ours(m) != nil && m.bornAt+secs(m.typ.BootS*2) < c.now {
+		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 || m.deaf > 0 || c.ours(m) != nil && c.overdue(m) {
 			continue
 		}
 		sm := c.shownMachine(m)
@@ -252,7 +252,7 @@
 		sm.Usable = m.ready && m.deaf == 0 && c.now < m.seenAt+c.lately() && !c.mute(m)
 		switch {
 		case sm.Usable:
-		case m.upAt == 0 && m.bornAt+secs(m.typ.BootS*2) > c.now:
+		case m.upAt == 0 && !c.overdue(m):
 			sm.ReadyAt = max(c.now+2*Second, m.bornAt+secs(m.typ.BootS))
 		case m.upAt > 0 && m.deaf == 0 && c.now < m.seenAt+c.lately() && !c.mute(m):
 			sm.ReadyAt = c.now + 3*Second
@@ -388,6 +388,7 @@
 		c.helloAt = c.now
 		c.heed(c.asks)
 	}
+	p.short = len(plan.Why) > 0
 	for id, why := range plan.Why {
 		c.why[id] = why
 	}
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -208,6 +208,7 @@
 		{"changes", c.w.store.changes.sum, c.w.sc.MostChanges},
 		{"requests to the store", c.w.store.reqs.sum, c.w.sc.MostRequests},
 		{"calls of the cloud", c.w.cloud.calls, c.w.sc.MostCalls},
+		{"machines rented", len(c.w.workers), c.w.sc.MostRented},
 		{"requests waiting at a controller at a time", c.w.waiting, c.w.sc.MostWaiting},
 		{"direct commands out at a time", c.w.pushing, c.w.sc.MostPushes},
 		{"machines at a time, too few for the day", c.w.sc.LeastMachines - c.w.machines, 0},
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -36,6 +36,7 @@
 	MostChanges   int        `toml:"most_changes"` // that the state service may be asked for in all; 0: any
 	MostRequests  int        `toml:"most_requests"`
 	MostCalls     int        `toml:"most_calls"`     // of the cloud
+	MostRented    int        `toml:"most_rented"`    // machines
 	MostWaiting   int        `toml:"most_waiting"`   // requests at a controller at a time
 	MostPushes    int        `toml:"most_pushes"`    // direct commands of a controller at a time
 	LeastMachines int        `toml:"least_machines"` // that must have been up at a time
@@ -123,6 +124,8 @@
 	Share float64 `toml:"share"`
 	Mode  string  `toml:"mode"`
 	HangS float64 `toml:"hang_s"`
+	// Factor is how many times as long machines boot.
+	Factor float64 `toml:"factor"`
 }
 
 // Random draws faults from the seed.
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -272,6 +272,9 @@
 	down  bool
 	empty bool
 	calls int
+	// While boots are in trouble some machines never come up, the others late or at once.
+	bootsUntil           int64
+	bootFail, bootFactor float64
 }
 
 func newCloud(w *World) *cloud {
@@ -336,6 +339,13 @@
 			}
 		}
 		for range min(room, req.Count) {
+			if c.w.now < c.bootsUntil {
+				t.BootS = c.w.sc.Types[i].BootS * c.bootFactor
+				if c.w.rng.Float64() < c.bootFail {
+					c.w.happened("machines that never come up")
+					t.BootS = 1e6
+				}
+			}
 			wk := newWorker(c.w, fmt.Sprintf("n-%06d", c.next), t, req.Zone, req.Spot)
 			c.next++
 			c.asked[req.Request] = append(c.asked[req.Request], wk.name)
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -52,6 +52,8 @@
 	case "watch_hangs": // its connection: what else the node asks is answered
 		n.watchHangs = true
 		w.after(lasts, func() { n.watchHangs = false })
+	case "boot_trouble":
+		w.cloud.bootsUntil, w.cloud.bootFail, w.cloud.bootFactor = until, f.Share, f.Factor
 	case "lease_runs_out": // as one cut off for long enough
 		w.store.endLeases(n)
 	default:
