What a controller has lost is told apart in one line of the log and on /ready

Refused alone, not answered alone, away for all, only workers left, cut off from everything, no worker: each said once it has lasted a second, and when it ends.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -192,6 +192,12 @@
 	storeOK  int64 // last answer from the state service
 	storeBad int64 // when it last began not to answer; 0: it answers
 	relist   *relisting
+	// storeRefuses: since it began to fail some of it were answers, not silence.
+	storeRefuses bool
+	condition    condition
+	conditionAt  int64
+	conditionNew condition // seen since newAt, not said yet
+	newAt        int64
 
 	// our lease
 	lease    uint64
@@ -319,6 +325,7 @@
 		return
 	}
 	c.tickAt = c.now + Second/10
+	c.watchCondition()
 	c.keepForm()
 	c.keepParts()
 	c.keepMachines()
@@ -353,11 +360,12 @@
 	delete(c.store, r.Call)
 	switch {
 	case r.Status == 0 || r.Status >= 500:
+		c.storeRefuses = c.storeRefuses || r.Status != 0
 		if c.storeBad == 0 {
 			c.storeBad = c.now
 		}
 	case r.Status != 429:
-		c.storeOK, c.storeBad = c.now, 0
+		c.storeOK, c.storeBad, c.storeRefuses = c.now, 0, false
 	}
 	f(r)
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -283,15 +283,11 @@
 // ready says whether users should be sent here. Where the state service is
 // away for every controller, all stay: leaving would only delay the return.
 func (c *Core) ready(v Ready) {
-	if !c.synced {
-		c.refuse(v.Req, 503, "the state service has not been read yet", 1)
-		return
-	}
-	if c.storeBad > 0 && c.now > c.storeBad+Second && c.othersAble() {
-		c.refuse(v.Req, 503, "the state service does not answer here", 1)
+	if !c.synced || c.storeBad > 0 && c.now > c.storeBad+Second && c.othersAble() {
+		c.refuse(v.Req, 503, string(c.conditionNow()), 1)
 		return
 	}
-	c.answer(v.Req, 200, struct{}{})
+	c.answer(v.Req, 200, wire.Readiness{Condition: string(c.conditionNow())})
 }
 
 // explain says why a job waits and when it should be done. Estimates are often
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -271,6 +271,11 @@
 	InTimeNo      = "no"      // not even at the earliest
 )
 
+// Readiness is what a health check is told beside its status.
+type Readiness struct {
+	Condition string `json:"condition"`
+}
+
 // Error is the body of a refusal.
 type Error struct {
 	Error string `json:"error"`
