--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -426,6 +426,7 @@
 	switch tr.Why {
 	case wire.Failed:
 		j.avoid[m.name], j.failedAt = true, c.now
+		j.failures++
 		bad := c.failsAnywhere(j)
 		if !bad && !j.suspect {
 			m.errors++
--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"spurmoor/internal/wire"
@@ -197,3 +199,29 @@
 		}
 	}
 }
+
+// TestWhyItFails guards that the owner of a job with a mistake is told so, and how
+// often it failed.
+func TestWhyItFails(t *testing.T) {
+	c, _, _, j := holder(t)
+	c.assign(j, 0, standing{})
+	for i := range 3 {
+		c.applyRow(machineRow{Name: fmt.Sprintf("n-%d", 2+i), Type: "g4", Zone: "alta", Cur: 0, Epoch: 1, Token: 11}, origin{1, 0, 1}, 11)
+		m := c.machines[fmt.Sprintf("n-%d", 2+i)]
+		c.assign(j, 0, standing{placed, uint64(i + 1), m.name})
+		c.exited(j, 0, j.task(0), m, wire.TaskReport{Task: "wk-000001/0", Attempt: uint64(i + 1), State: wire.Exited, Why: wire.Failed})
+	}
+	var why string
+	for _, e := range c.Step(c.now, Explain{Req: 9, ID: j.id}) {
+		if call, ok := e.(StoreCall); ok && call.Op == OpFollow && call.WaitMs == 0 {
+			for _, e := range c.Step(c.now, &StoreReply{Call: call.Call, Status: 200, Follow: wire.Follow{Revision: c.rev}}) {
+				if a, ok := e.(Answer); ok && a.Req == 9 {
+					why = a.Body.(wire.Explanation).Why
+				}
+			}
+		}
+	}
+	if !strings.Contains(why, "fails on every machine") || !strings.Contains(why, "3 failures") || !strings.Contains(why, "tried again in") {
+		t.Errorf("the owner is told %q", why)
+	}
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -151,6 +151,7 @@
 	avoid    map[string]bool // machines that it failed on
 	suspect  bool            // fails wherever it runs
 	failedAt int64
+	failures int  // since this controller plans it
 	spoiled  bool // a task of this attempt of the gang has exited
 	holdOff  int64
 	backOff  int64
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+	"math"
 	"slices"
 
 	"spurmoor/internal/sched"
@@ -318,8 +320,11 @@
 				e.Why = "no controller holds its team's part at the moment"
 			case !c.parts[j.part].held:
 				e.Why = "ask " + e.Holder + ", which plans it"
-			case c.now < j.holdOff:
-				e.Why = "it failed on every machine that it was tried on; tried again later"
+			case j.suspect:
+				e.Why = fmt.Sprintf("it fails on every machine that it is tried on: %d failures so far", j.failures)
+				if c.now < j.holdOff {
+					e.Why += fmt.Sprintf(", tried again in %.0f s", math.Ceil(float64(j.holdOff-c.now)/float64(Second)))
+				}
 			}
 			if end > c.now && j.spec.Kind != wire.Daemon {
 				e.DoneInS = float64(end-c.now) / float64(Second)
