--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -259,6 +259,7 @@
 	storeOK bool
 	idle    map[string]bool
 	form    int
+	writes  float64 // changes that it makes a second
 }
 
 // New makes a controller. inc tells this process from earlier ones of the
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -25,7 +25,7 @@
 	ops      []*machine      // records to change
 	fresh    []*newMachines  // machines to record
 	flush    *flush
-	flushAt  int64
+	flushed  int64              // when the last flush was sent
 	tight    int                // how often its flushes were too large: half as much each time
 	rents    map[sched.Kind]int // asked for and not recorded yet
 	short    bool               // jobs waited at its last cycle
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -563,7 +563,11 @@
 	}
 	c.helloAt = c.now + Second
 	able := c.synced && !c.cutOff && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
-	c.emit(Tell{&peer.Hello{Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.tellable(), Form: Form}})
+	if w := &c.writes; c.now >= w.toldAt+Second {
+		w.rate = (w.rate + (w.sum-w.told)*float64(Second)/float64(c.now-w.toldAt)) / 2
+		w.told, w.toldAt = w.sum, c.now
+	}
+	c.emit(Tell{&peer.Hello{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.tellable(), Form: Form}})
 }
 
 // told is a cancellation that we confirmed to its user.
@@ -605,7 +609,7 @@
 		was = &heard{since: c.now}
 		c.hellos[h.Node] = was
 	}
-	was.at, was.storeOK, was.idle, was.form = c.now, h.StoreOK, map[string]bool{}, h.Form
+	was.at, was.storeOK, was.idle, was.form, was.writes = c.now, h.StoreOK, map[string]bool{}, h.Form, h.Writes
 	c.noteForm(h.Node, h.Form)
 	for _, i := range h.Idle {
 		was.idle[i.Machine] = true
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,6 +37,7 @@
 	StoreOK bool
 	Idle    []Idle
 	Asks    []Ask
+	Writes  float64 // changes of the state service a second, of late; 0: of a version that does not say
 	// Cancelled are jobs whose users this controller told so in the last seconds.
 	Cancelled []string
 	Form      int // of what the sender reads and writes in the state service; 0: of the first versions
--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -223,6 +223,11 @@
 			c.breaks("scenario", fmt.Sprintf("%d %s, at least %d", n, what, c.w.sc.Least[what]))
 		}
 	}
+	for _, what := range slices.Sorted(maps.Keys(c.w.sc.Most)) {
+		if n := c.w.seen[what]; n > c.w.sc.Most[what] {
+			c.breaks("scenario", fmt.Sprintf("%d %s, at most %d", n, what, c.w.sc.Most[what]))
+		}
+	}
 	c.w.say("brought about: %v", c.w.seen)
 	c.known()
 	if !c.w.sc.Unserved {
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -52,6 +52,8 @@
 	Unsaid        string     `toml:"unsaid"` // a line that it must not hold
 	// Least is how often what a trouble is to bring about must have happened.
 	Least map[string]int `toml:"least"`
+	// Most is how often something may happen at the most.
+	Most map[string]int `toml:"most"`
 	// Next is what the state service admits after the fault "limits", and what
 	// the settings of a controller name from its fault "upgrade" on.
 	Next struct {
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -160,6 +160,16 @@
 // ends is told of each task that completed: the job's user may call it off at
 // that very moment, or while its end is being recorded.
 func (w *World) ends(job string) {
+	if u := w.byID[job]; u != nil && !u.asked && w.check.complete(u) {
+		// Three seconds later its user expects to be told so.
+		w.after(3*second, func() {
+			u.ask(w.nodes[w.rng.IntN(3)], func(req uint64) any { return core.Poll{Req: req, ID: u.id} }, func(a core.Answer, _ bool, _ string) {
+				if s, ok := a.Body.(wire.JobStatus); ok && !u.asked && s.State != wire.Done {
+					w.happened("ends told late")
+				}
+			})
+		})
+	}
 	if u := w.byID[job]; u != nil && !u.asked && u.final == "" && w.check.complete(u) && w.cancelAtEnd.hits(w) {
 		w.happened("cancelled at the end")
 		u.calledOff = true
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,7 +27,7 @@
 	bad    func(who string, err error)
 }
 
-// New makes a client. Each controller may use half of the requests and 0.6
+// New makes a client. Each controller may use half of the requests and 0.8
 // of the changes: they are rarely busy all at once, and a 429 is retried. The
 // core spends less on what can wait. bad is told of every answer that can't be read.
 func New(set *settings.Settings, bad func(who string, err error)) *Client {
@@ -41,7 +41,7 @@
 		http: client(set.Sockets.Store), urgent: client(set.Sockets.Lease),
 		reqs:   rate.NewLimiter(rate.Limit(s.RPS/2), max(1, int(s.RPS/2))),
 		bad:    bad,
-		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.6), max(s.TxnOps, int(s.WriteRPS*0.6))),
+		writes: rate.NewLimiter(rate.Limit(s.WriteRPS*0.8), max(s.TxnOps, int(s.WriteRPS*0.8))),
 	}
 }
 
