--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -67,6 +67,12 @@
 	want := min(j.Pending, p.admits(j))
 	if j.Spec.Kind == wire.Gang && want < j.Pending || want == 0 {
 		p.plan.Why[j.ID] = "the team's limit is used up"
+		if t := p.Teams[j.Spec.Team]; t != nil && j.Spec.Kind == wire.Gang && !j.Deprior && t.reserved == (Res{}) {
+			// Exception: what a team's limit leaves is reserved like machines, for
+			// the first of its gangs. Single tasks of the team took each piece as it
+			// came, and its gangs waited for minutes, or for ever.
+			t.reserved = t.reserved.Add(j.Need, int64(j.Pending))
+		}
 		return 0
 	}
 	if j.Spec.Kind == wire.Gang {
@@ -138,11 +144,12 @@
 		return 0
 	}
 	n := j.Pending
+	left := t.Limit.Add(t.Used, -1).Add(t.reserved, -1)
 	if t.Limit.CPU > 0 && j.Need.CPU > 0 {
-		n = min(n, int(max(0, t.Limit.CPU-t.Used.CPU)/j.Need.CPU))
+		n = min(n, int(max(0, left.CPU)/j.Need.CPU))
 	}
 	if t.Limit.GPU > 0 && j.Need.GPU > 0 {
-		n = min(n, int(max(0, t.Limit.GPU-t.Used.GPU)/j.Need.GPU))
+		n = min(n, int(max(0, left.GPU)/j.Need.GPU))
 	}
 	return n
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -111,6 +111,7 @@
 // Team is a team's share of the part.
 type Team struct {
 	Used, Guarantee, Limit Res // a zero amount in Limit or Guarantee: none
+	reserved               Res // of the limit, for gangs that it keeps waiting
 }
 
 // Kind is a thing to rent.
