--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -221,7 +221,7 @@
 		if node == c.set.Node {
 			continue
 		}
-		h := c.hellos[node]
+		h := c.heartbeats[node]
 		if h == nil || c.now > h.at+3*Second || h.writes == 0 {
 			return fixed // not known: one that was not heard may use its share
 		}
--- a/internal/core/condition.go
+++ b/internal/core/condition.go
@@ -21,7 +21,7 @@
 func (c *Core) conditionNow() condition {
 	lost := c.storeBad > 0 && c.now > c.storeBad+conditionAfter
 	peers := len(c.set.Nodes) == 1
-	for _, h := range c.hellos {
+	for _, h := range c.heartbeats {
 		peers = peers || c.now < h.at+4*Second
 	}
 	// Without machines none can be heard.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,7 +82,7 @@
 		Machines wire.MachineList
 	}
 	// PeerIn is a message of another controller.
-	PeerIn struct{ Hello *peer.Hello }
+	PeerIn struct{ Heartbeat *peer.Heartbeat }
 )
 
 // Effects of Step.
@@ -122,7 +122,7 @@
 		Body    wire.Push
 	}
 	// Tell sends a message to every other controller.
-	Tell struct{ Hello *peer.Hello }
+	Tell struct{ Heartbeat *peer.Heartbeat }
 	// Log is a line for the log.
 	Log struct {
 		Level slog.Level
@@ -237,20 +237,20 @@
 	ends      map[string]int64
 	promised  map[string]sched.Promised // machines kept for gangs that are due
 
-	hellos    map[string]*heard
-	forms     map[string]int // by controller, the form that it is known to read
-	formAt    int64
-	formed    bool // all read ours; said so
-	helloAt   int64
-	asks      []peer.Ask
-	tolds     []told
-	stepBack  int64 // takes no part before this
-	unreached int64
-	heardAt   int64 // any worker, of whatever part
-	cutOff    bool  // no worker reached us; none has answered since
-	probeAt   int64
-	probed    int
-	tickAt    int64
+	heartbeats  map[string]*heard
+	forms       map[string]int // by controller, the form that it is known to read
+	formAt      int64
+	formed      bool // all read ours; said so
+	heartbeatAt int64
+	asks        []peer.Ask
+	tolds       []told
+	stepBack    int64 // takes no part before this
+	unreached   int64
+	heardAt     int64 // any worker, of whatever part
+	cutOff      bool  // no worker reached us; none has answered since
+	probeAt     int64
+	probed      int
+	tickAt      int64
 }
 
 type heard struct {
@@ -271,7 +271,7 @@
 		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*need{}, forms: map[string]int{}, pages: map[string]catalogPage{}, tombs: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
 		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{},
-		typeOf: map[string]*wire.MachineType{}, hellos: map[string]*heard{}, why: map[string]string{},
+		typeOf: map[string]*wire.MachineType{}, heartbeats: map[string]*heard{}, why: map[string]string{},
 	}
 	for i := range set.Ops.Parts {
 		c.parts = append(c.parts, &part{idx: i, dirty: map[string]bool{}})
@@ -310,7 +310,7 @@
 			f(v)
 		}
 	case PeerIn:
-		c.hello(v.Hello)
+		c.heartbeat(v.Heartbeat)
 	}
 	c.housekeep()
 	return c.out
@@ -334,7 +334,7 @@
 	c.keepCloud()
 	c.cycle()
 	c.flushes()
-	c.sayHello()
+	c.sendHeartbeat()
 	c.summary()
 }
 
--- a/internal/core/form.go
+++ b/internal/core/form.go
@@ -23,7 +23,7 @@
 // reads tells whether a controller reads our form. One that says that it does
 // not, now, is believed: it was put back.
 func (c *Core) reads(node string) bool {
-	if h := c.hellos[node]; h != nil && h.form < Form && c.now < h.at+5*Second {
+	if h := c.heartbeats[node]; h != nil && h.form < Form && c.now < h.at+5*Second {
 		return false
 	}
 	return node == c.set.Node || c.forms[node] >= Form
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -81,7 +81,7 @@
 // it said before it can have noticed an outage that we noticed does not count:
 // all controllers once left the users' balancer at the start of each outage.
 func (c *Core) othersAble() bool {
-	for _, h := range c.hellos {
+	for _, h := range c.heartbeats {
 		if h.storeOK && c.now < h.at+3*Second && (c.storeBad == 0 || h.at > c.storeBad+3*Second/2) {
 			return true
 		}
@@ -236,7 +236,7 @@
 // once that one has been well for a while.
 func (c *Core) handBack(p *part) {
 	owner := c.set.Nodes[p.idx%len(c.set.Nodes)]
-	h := c.hellos[owner]
+	h := c.heartbeats[owner]
 	if owner == c.set.Node || c.now < p.tookAt+15*Second || h == nil || !h.storeOK || c.now > h.at+3*Second || c.now < h.since+8*Second {
 		return
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -385,7 +385,7 @@
 		c.asks = append(c.asks, peer.Ask{Machine: m.name, Part: p.idx, Spare: true})
 	}
 	if len(c.asks) > 0 {
-		c.helloAt = c.now
+		c.heartbeatAt = c.now
 		c.heed(c.asks)
 	}
 	p.short = len(plan.Why) > 0
@@ -486,7 +486,7 @@
 	if c.ours(m) != nil {
 		return c.lendable(m) && c.now > m.idleAt+Second/3
 	}
-	for _, h := range c.hellos {
+	for _, h := range c.heartbeats {
 		if c.now < h.at+3*Second && h.idle[name] {
 			return true
 		}
@@ -556,18 +556,18 @@
 	return &sched.Team{}
 }
 
-// sayHello tells the other controllers how we are and what we want.
-func (c *Core) sayHello() {
-	if c.now < c.helloAt {
+// sendHeartbeat tells the other controllers how we are and what we want.
+func (c *Core) sendHeartbeat() {
+	if c.now < c.heartbeatAt {
 		return
 	}
-	c.helloAt = c.now + Second
+	c.heartbeatAt = c.now + Second
 	able := c.synced && !c.cutOff && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
 	if w := &c.writes; c.now >= w.toldAt+Second {
 		w.rate = (w.rate + (w.sum-w.told)*float64(Second)/float64(c.now-w.toldAt)) / 2
 		w.told, w.toldAt = w.sum, c.now
 	}
-	c.emit(Tell{&peer.Hello{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.tellable(), Form: Form}})
+	c.emit(Tell{&peer.Heartbeat{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.tellable(), Form: Form}})
 }
 
 // told is a cancellation that we confirmed to its user.
@@ -588,7 +588,7 @@
 	if len(c.tolds) < maxTold {
 		c.tolds = append(c.tolds, told{id, c.now})
 	}
-	c.helloAt = min(c.helloAt, c.now)
+	c.heartbeatAt = min(c.heartbeatAt, c.now)
 }
 
 func (c *Core) tellable() []string {
@@ -600,14 +600,14 @@
 	return ids
 }
 
-func (c *Core) hello(h *peer.Hello) {
+func (c *Core) heartbeat(h *peer.Heartbeat) {
 	if !slices.Contains(c.set.Nodes, h.Node) || h.Node == c.set.Node {
 		return
 	}
-	was := c.hellos[h.Node]
+	was := c.heartbeats[h.Node]
 	if was == nil || c.now > was.at+4*Second || !was.storeOK {
 		was = &heard{since: c.now}
-		c.hellos[h.Node] = was
+		c.heartbeats[h.Node] = was
 	}
 	was.at, was.storeOK, was.idle, was.form, was.writes = c.now, h.StoreOK, map[string]bool{}, h.Form, h.Writes
 	c.noteForm(h.Node, h.Form)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,9 +29,9 @@
 	Lent       int  // tier lent to the job by one that needs it, where that is higher
 }
 
-// Hello is sent to every other controller about once a second. It says
+// Heartbeat is sent to every other controller about once a second. It says
 // nothing that safety rests on: each move is a conditional write.
-type Hello struct {
+type Heartbeat struct {
 	V       int
 	Node    string
 	StoreOK bool
@@ -44,14 +44,14 @@
 }
 
 // Encode gives the message's bytes.
-func Encode(h *Hello) ([]byte, error) {
+func Encode(h *Heartbeat) ([]byte, error) {
 	h.V = Version
 	return msgpack.Marshal(h)
 }
 
 // Decode reads a message.
-func Decode(b []byte) (*Hello, error) {
-	h := &Hello{}
+func Decode(b []byte) (*Heartbeat, error) {
+	h := &Heartbeat{}
 	if err := msgpack.Unmarshal(b, h); err != nil {
 		return nil, fmt.Errorf("peer message: %w", err)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestRoundTrip(t *testing.T) {
-	in := &Hello{Node: "nodo-1", StoreOK: true, Idle: []Idle{{"n-000001"}}, Asks: []Ask{{Machine: "n-000002", Part: 1, Tier: 7}}, Form: 1}
+	in := &Heartbeat{Node: "nodo-1", StoreOK: true, Idle: []Idle{{"n-000001"}}, Asks: []Ask{{Machine: "n-000002", Part: 1, Tier: 7}}, Form: 1}
 	b, err := Encode(in)
 	if err != nil {
 		t.Fatal(err)
@@ -17,7 +17,7 @@
 	if err != nil || !reflect.DeepEqual(in, out) {
 		t.Errorf("got %+v, %v", out, err)
 	}
-	b, err = msgpack.Marshal(&Hello{V: Version + 1, Node: "nodo-1"})
+	b, err = msgpack.Marshal(&Heartbeat{V: Version + 1, Node: "nodo-1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -27,7 +27,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	b, err := Encode(&Hello{Node: "nodo-1", Asks: []Ask{{Machine: "n-000002"}}})
+	b, err := Encode(&Heartbeat{Node: "nodo-1", Asks: []Ask{{Machine: "n-000002"}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/rehearsal/versions_test.go
+++ b/internal/rehearsal/versions_test.go
@@ -236,7 +236,7 @@
 			t.Errorf("no record of the kind %s was written", kind)
 		}
 	}
-	b, err := peer.Encode(&peer.Hello{Node: "nodo-2", StoreOK: true, Idle: []peer.Idle{{Machine: "n-1"}}, Asks: []peer.Ask{{Machine: "n-2", Tier: 4}}, Form: core.Form})
+	b, err := peer.Encode(&peer.Heartbeat{Node: "nodo-2", StoreOK: true, Idle: []peer.Idle{{Machine: "n-1"}}, Asks: []peer.Ask{{Machine: "n-2", Tier: 4}}, Form: core.Form})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -365,10 +365,10 @@
 			})
 		})
 	case core.Tell:
-		hello := *v.Hello
+		hello := *v.Heartbeat
 		for _, o := range w.nodes {
 			if o != n {
-				w.carry(n, "peers", func() { w.carry(o, "peers", func() { w.step(o, core.PeerIn{Hello: &hello}) }) })
+				w.carry(n, "peers", func() { w.carry(o, "peers", func() { w.step(o, core.PeerIn{Heartbeat: &hello}) }) })
 			}
 		}
 	case core.Log:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -221,7 +221,7 @@
 	case core.Push:
 		go s.push(v, now)
 	case core.Tell:
-		s.tell(v.Hello)
+		s.tell(v.Heartbeat)
 	case core.Log:
 		s.log.Log(context.Background(), v.Level, v.Msg, v.Args...)
 	}
@@ -271,7 +271,7 @@
 	s.log.Debug("unreadable message", "from", who, "error", err, "so_far", s.garbage.Add(1))
 }
 
-func (s *Server) tell(h *peer.Hello) {
+func (s *Server) tell(h *peer.Heartbeat) {
 	b, err := peer.Encode(h)
 	if err != nil {
 		s.log.Error("peer message", "error", err)
@@ -400,7 +400,7 @@
 		return
 	}
 	select {
-	case s.inputs <- input{in: core.PeerIn{Hello: h}}:
+	case s.inputs <- input{in: core.PeerIn{Heartbeat: h}}:
 	default:
 	}
 	ctx.SetStatusCode(204)
