--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -225,3 +225,15 @@
 		t.Errorf("the owner is told %q", why)
 	}
 }
+
+// TestEndGuardsItsJob guards against an end that is recorded after its job's
+// cancellation was told, by a transaction that comes late: it guards the version of
+// the job's key that it follows.
+func TestEndGuardsItsJob(t *testing.T) {
+	c, p, _, j := holder(t)
+	c.change(j, 0, standing{done, 1, ""})
+	f := c.build(p, 10)
+	if f == nil || len(f.finals) != 1 || !slices.Contains(f.req.If, wire.Guard{Key: jobKey + j.id, Version: j.ver}) {
+		t.Errorf("an end is recorded without its job's key: %+v", f)
+	}
+}
