--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -237,3 +237,17 @@
 		t.Errorf("an end is recorded without its job's key: %+v", f)
 	}
 }
+
+// TestFlushGuardsTermAndSlot guards against a flush that is carried out after its
+// part was taken by another, or after a newer flush of the same term.
+func TestFlushGuardsTermAndSlot(t *testing.T) {
+	c, p, m, j := holder(t)
+	c.assign(j, 0, standing{})
+	c.change(j, 0, standing{placed, 2, m.name})
+	f := c.build(p, 10)
+	for _, g := range []wire.Guard{{Key: p.key(), Version: p.ver}, {Key: slotKey(p.idx, f.entries[0].slot), Version: f.was}} {
+		if !slices.Contains(f.req.If, g) {
+			t.Errorf("a flush does not guard %+v: %+v", g, f.req.If)
+		}
+	}
+}
