--- /dev/null
+++ b/internal/rehearsal/digest_test.go
@@ -0,0 +1,112 @@
+package rehearsal
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"hash"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"spurmoor/internal/core"
+)
+
+// digestSeeds is how many random days the digest covers.
+const digestSeeds = 200
+
+var printDigest = flag.Bool("digest", false, "print a digest of all effects over every scenario and the random days")
+
+// TestDigest prints one hash over everything that the controllers send, write
+// and answer, with its simulated time, in every scenario and in 200 random days.
+// Log lines are left out. A change that only moves or renames code leaves the
+// digest as it was. The value is not checked against anything stored.
+func TestDigest(t *testing.T) {
+	if !*printDigest {
+		t.Skip("no -digest")
+	}
+	days := digestDays(t)
+	sums := make([]string, len(days))
+	var running sync.WaitGroup
+	slots := make(chan struct{}, 4)
+	for i, text := range days {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			sums[i] = digestOf(t, text)
+		}()
+	}
+	running.Wait()
+	t.Logf("digest of %d days: %x", len(days), sha256.Sum256([]byte(strings.Join(sums, "\n"))))
+}
+
+// digestDays gives the text of each scenario and random day.
+func digestDays(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob("testdata/*.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var days []string
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		days = append(days, string(text))
+	}
+	random, err := os.ReadFile("testdata/random_1.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range digestSeeds {
+		days = append(days, strings.Replace(string(random), "seed = 1\n", "seed = "+strconv.Itoa(1000+seed)+"\n", 1))
+	}
+	return days
+}
+
+// digestOf plays one day and hashes its effects.
+func digestOf(t *testing.T, text string) string {
+	sc, err := Parse([]byte(text))
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	sum := sha256.New()
+	observe := func(at int64, node string, effect any) { hashEffect(sum, at, node, effect) }
+	if _, _, err := playObserved(sc, observe); err != nil {
+		t.Error(err)
+	}
+	return fmt.Sprintf("%x", sum.Sum(nil))
+}
+
+// hashEffect adds one effect by its values, so that renamed types and fields
+// leave the digest as it is.
+func hashEffect(sum hash.Hash, at int64, node string, effect any) {
+	add := func(kind string, values ...any) {
+		text, err := json.Marshal(values)
+		if err != nil {
+			panic(err) // plain records: cannot fail
+		}
+		fmt.Fprintln(sum, at, node, kind, string(text))
+	}
+	switch v := effect.(type) {
+	case core.Answer:
+		add("answer", v.Req, v.Status, v.Body, v.RetryAfter)
+	case core.StoreCall:
+		add("store", v.Call, v.Op, v.Key, v.Since, v.WaitMs, v.Lease, v.TTLMs, v.Txn, v.Urgent)
+	case core.CloudCall:
+		add("cloud", v.Call, v.Op, v.Rent, v.Names, v.After)
+	case core.Push:
+		add("commands", v.Machine, v.Addr, v.Starts, v.Body)
+	case core.Tell:
+		h := v.Heartbeat
+		add("heartbeat", h.Node, h.StoreOK, len(h.Idle), h.Idle, h.Asks, h.Cancelled, h.Form, h.Writes)
+	}
+}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -95,6 +95,7 @@
 	forNext     []func() // reports kept for the next leader
 	leader      map[string]string
 	seen        map[string]int
+	observe     func(at int64, node string, effect any) // of every effect; may be nil
 	Log         []string
 }
 
@@ -128,8 +129,12 @@
 }
 
 // Play plays a scenario to its end and gives what went wrong.
-func Play(sc *Scenario) (*World, []string, error) {
+func Play(sc *Scenario) (*World, []string, error) { return playObserved(sc, nil) }
+
+// playObserved is Play with every effect of the cores shown to observe as well.
+func playObserved(sc *Scenario, observe func(at int64, node string, effect any)) (*World, []string, error) {
 	w := newWorld(sc, nil)
+	w.observe = observe
 	start := w.now
 	for _, n := range w.nodes {
 		if err := w.boot(n); err != nil {
@@ -210,6 +215,9 @@
 		return
 	}
 	for _, e := range n.core.Step(w.now, in) {
+		if w.observe != nil {
+			w.observe(w.now, n.name, e)
+		}
 		w.effect(n, e)
 	}
 }
