A controller that resumes after a pause judges no machine before its lease is renewed

Ruled out: any effect on tasks, for each write guards the partition's key. Change: machines are judged only while the lease is known to hold, and a pause is one line of the log.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -284,8 +284,10 @@
 
 // Step takes one input at a time that never runs backwards.
 func (c *Core) Step(now int64, in any) []any {
+	previous := c.now
 	c.now = max(c.now, now)
 	c.out = nil
+	c.notePause(previous)
 	switch v := in.(type) {
 	case Tick:
 	case Submit:
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -48,7 +48,7 @@
 		// had lost it sent workers to each other, by what each knew last, until
 		// the leases of seven hundred machines had run out.
 		to := ""
-		if m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && p == nil && c.parts[m.rec.Cur].ver > 0 && c.now < c.leasedAt+c.ttl() {
+		if m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && p == nil && c.parts[m.rec.Cur].ver > 0 && c.leaseValid() {
 			to = c.parts[m.rec.Cur].rec.Node
 		}
 		if to == c.set.Node {
@@ -563,6 +563,9 @@
 	}
 	cut := up >= 2 && silent*2 > up
 	c.stepDown(up)
+	if !c.leaseValid() {
+		return // another controller may hold our partitions by now
+	}
 	for _, m := range c.order {
 		if c.ours(m) != nil {
 			c.keepMachine(m, cut)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -55,7 +55,7 @@
 // starts tells whether tasks may be started: a holder that lost the state
 // service goes on with what runs and starts nothing more.
 func (c *Core) starts() bool {
-	return c.now < c.leasedAt+c.ttl() && c.now < c.knownAt+startAge
+	return c.leaseValid() && c.now < c.knownAt+startAge
 }
 
 // leaseBound is how long after a take-over a worker that the holder before
