Idle-time work has a price ceiling of its own

Change: best_effort work without a deadline, of a class without an objective, is rented for at up to idle_price_ceiling (1.5) times its cheapest kind; it grows as the common one does, so that it is served in the end. TestIdleTimeCeiling fails without it.

--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -215,10 +215,26 @@
 			}
 		}
 	}
-	// Dear kinds are for those that have waited long.
-	ceiling := p.Ops.PriceCeiling * (1 + float64(p.Now-j.At)/float64(Second)/p.Ops.CeilingGrowthS)
-	if typ != nil && perTask[best] > ceiling*floor {
+	if typ != nil && perTask[best] > p.ceiling(j)*floor {
 		return best, nil
 	}
 	return best, typ
 }
+
+// ceiling is how many times the price of the cheapest kind that a job may use
+// is paid for it. Dear kinds are for jobs that have waited long.
+func (p *planner) ceiling(j *Job) float64 {
+	base := p.Ops.PriceCeiling
+	if p.idleTime(j) {
+		base = math.Min(base, p.Ops.IdlePriceCeiling)
+	}
+	waited := float64(p.Now-j.At) / float64(Second)
+	return base * (1 + waited/p.Ops.CeilingGrowthS)
+}
+
+// idleTime tells whether a job is idle-time work: of the lowest priority,
+// without a deadline, and of a class for which the settings state no objective.
+// Such a job runs where there is room, or on cheap machines rented for it.
+func (p *planner) idleTime(j *Job) bool {
+	return j.Tier <= wire.Tier(wire.BestEffort) && j.Due.S == 0 && len(p.Aims[j.Spec.Class]) == 0
+}
--- /dev/null
+++ b/internal/sched/rent_test.go
@@ -0,0 +1,46 @@
+package sched
+
+import (
+	"testing"
+
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// TestIdleTimeCeiling guards against dear machines rented for work of which
+// nobody expects when it is done: 55 ordinary machines at five times the price
+// of spot were once rented for it in the last half minute of a day.
+func TestIdleTimeCeiling(t *testing.T) {
+	ops := settings.Defaults()
+	types := []wire.MachineType{
+		{Name: "small", CPUs: 12, GPUs: 2, MemoryGB: 72, Price: 6, SpotPrice: 2, BootS: 40, Zones: []string{"a"}},
+	}
+	const waited = 700 * Second
+	refused := map[Kind]bool{{Type: "small", Zone: "a", Spot: true}: true}
+	aims := map[string][]settings.Objective{"billed": {{Kind: "finished", Class: "billed", WithinS: 400}}}
+	for _, c := range []struct {
+		what     string
+		class    string
+		priority string
+		due      Due
+		waited   int64
+		refused  map[Kind]bool
+		rents    bool
+	}{
+		{"idle-time work, spot to be had", "idle", wire.BestEffort, Due{}, waited, nil, true},
+		{"idle-time work, only ordinary machines", "idle", wire.BestEffort, Due{}, waited, refused, false},
+		{"idle-time work that waited for very long", "idle", wire.BestEffort, Due{}, 3 * waited, refused, true},
+		{"with an objective for its class", "billed", wire.BestEffort, Due{}, waited, refused, true},
+		{"with a deadline", "idle", wire.BestEffort, Due{S: 900}, waited, refused, true},
+		{"of a higher priority", "idle", "standard", Due{}, waited, refused, true},
+	} {
+		view := &View{Now: 1e12, Types: types, Ops: &ops, Aims: aims, Refused: c.refused}
+		p := &planner{View: view, held: map[Kind]int{}}
+		spec := &wire.Job{Class: c.class, Kind: wire.Array, Priority: c.priority, Spot: true, Tasks: 10, GPUs: 1, EstimateS: 300}
+		job := &Job{Spec: spec, Need: ResOf(1, 1, 1), Tier: wire.Tier(c.priority), At: view.Now - c.waited, Due: c.due}
+		_, rented := p.cheapest(job, 10, map[Kind]int{})
+		if (rented != nil) != c.rents {
+			t.Errorf("%s: rents: %t", c.what, rented != nil)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,12 +142,14 @@
 	HoldTTLS       float64 `toml:"hold_ttl_s"`
 	RefusalS       float64 `toml:"refusal_memory_s"`
 	QueueJobs      int     `toml:"queue_jobs"`
-	LatePenalty    float64 `toml:"late_penalty"`     // off the score of a job whose aims are all out of reach
-	LargePenalty   float64 `toml:"large_penalty"`    // off the score of an array that asks for much, in a backlog
-	PriceCeiling   float64 `toml:"price_ceiling"`    // times the cheapest kind that a job may use
-	CeilingGrowthS float64 `toml:"ceiling_growth_s"` // wait after which the ceiling has doubled
-	BeginWithinS   float64 `toml:"begin_within_s"`   // every job should have begun by then
-	Weights        Weights `toml:"weights"`
+	LatePenalty    float64 `toml:"late_penalty"`  // off the score of a job whose aims are all out of reach
+	LargePenalty   float64 `toml:"large_penalty"` // off the score of an array that asks for much, in a backlog
+	PriceCeiling   float64 `toml:"price_ceiling"` // times the cheapest kind that a job may use
+	// IdlePriceCeiling is PriceCeiling for idle-time work.
+	IdlePriceCeiling float64 `toml:"idle_price_ceiling"`
+	CeilingGrowthS   float64 `toml:"ceiling_growth_s"` // wait after which the ceilings have doubled
+	BeginWithinS     float64 `toml:"begin_within_s"`   // every job should have begun by then
+	Weights          Weights `toml:"weights"`
 }
 
 // Settings is everything a controller runs by.
@@ -166,7 +168,7 @@
 func Defaults() Operators {
 	return Operators{
 		CycleS: 5, ReferenceWaitS: 60, IdleReturnS: 15, SilentS: 12, HoldTTLS: 6,
-		RefusalS: 15, QueueJobs: 4000, LatePenalty: 0.6, LargePenalty: 1.2, PriceCeiling: 2.5, CeilingGrowthS: 900, BeginWithinS: 240,
+		RefusalS: 15, QueueJobs: 4000, LatePenalty: 0.6, LargePenalty: 1.2, PriceCeiling: 2.5, IdlePriceCeiling: 1.5, CeilingGrowthS: 900, BeginWithinS: 240,
 		Weights: Weights{Priority: 0.20, Wait: 0.20, Deficit: 0.20, ZoneFit: 0.15, Readiness: 0.10, Backlog: 0.05},
 	}
 }
@@ -224,6 +226,7 @@
 		{"late_penalty", ops.LatePenalty, 0, 10},
 		{"large_penalty", ops.LargePenalty, 0, 10},
 		{"price_ceiling", ops.PriceCeiling, 1, 1000},
+		{"idle_price_ceiling", ops.IdlePriceCeiling, 1, 1000},
 		{"ceiling_growth_s", ops.CeilingGrowthS, 1, 86400},
 		{"begin_within_s", ops.BeginWithinS, 1, 86400},
 		{"weights.priority", ops.Weights.Priority, 0, 1},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -111,7 +111,10 @@
 func ValidID(id string) bool { return idForm.MatchString(id) }
 
 // Priorities, lowest first.
-var priorities = map[string]int{"best_effort": 1, "standard": 4, "urgent": 7, "production": 10}
+// BestEffort is the lowest priority.
+const BestEffort = "best_effort"
+
+var priorities = map[string]int{BestEffort: 1, "standard": 4, "urgent": 7, "production": 10}
 
 // Tier is the 0 to 10 tier of a priority.
 func Tier(priority string) int { return priorities[priority] }
