--- /dev/null
+++ b/internal/core/faults_test.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"spurmoor/internal/settings"
+	"spurmoor/internal/wire"
+)
+
+// faultsOf makes a controller with machines m-0 to m-4 and array jobs a to d,
+// of which nothing is known.
+func faultsOf(t *testing.T) *Core {
+	t.Helper()
+	c := New(&settings.Settings{Ops: settings.Defaults()}, 1, rand.New(rand.NewPCG(1, 1)))
+	for _, name := range []string{"m-0", "m-1", "m-2", "m-3", "m-4"} {
+		c.machines[name] = &machine{name: name, failures: failures{unexplained: map[string]bool{}}}
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		c.jobs[id] = &job{id: id, spec: wire.Job{Kind: wire.Array, Tasks: 20}, avoid: map[string]bool{}}
+	}
+	return c
+}
+
+// TestFaultsAreTold guards against taking healthy machines for faulty ones for a
+// job's mistake, and the other way round: of 44 machines quarantined on a
+// recorded day all had only met jobs that failed everywhere.
+func TestFaultsAreTold(t *testing.T) {
+	type failure struct{ job, machine string }
+	for _, tc := range []struct {
+		what     string
+		sound    []string // jobs of which a task was done before
+		failures []failure
+		proven   []string // jobs of which a task is done on m-4 afterwards
+		faulty   []string
+		suspect  []string
+	}{
+		{what: "several tasks of one job on one machine", failures: []failure{{"a", "m-0"}, {"a", "m-0"}, {"a", "m-0"}}},
+		{what: "a job on every machine that it meets", failures: []failure{{"a", "m-0"}, {"a", "m-0"}, {"a", "m-1"}, {"a", "m-1"}, {"a", "m-2"}}, suspect: []string{"a"}},
+		{what: "two such jobs on the same machines", failures: []failure{{"a", "m-0"}, {"a", "m-1"}, {"b", "m-1"}, {"b", "m-2"}, {"b", "m-3"}, {"a", "m-2"}}, suspect: []string{"a", "b"}},
+		{what: "two jobs that failed nowhere else", failures: []failure{{"a", "m-0"}, {"b", "m-0"}}, faulty: []string{"m-0"}},
+		{what: "two tasks of a sound job", sound: []string{"a"}, failures: []failure{{"a", "m-0"}, {"a", "m-0"}}, faulty: []string{"m-0"}},
+		{what: "two jobs on two machines, done elsewhere then", failures: []failure{{"a", "m-0"}, {"a", "m-1"}, {"b", "m-0"}, {"b", "m-1"}}, proven: []string{"a", "b"}, faulty: []string{"m-0", "m-1"}},
+	} {
+		c := faultsOf(t)
+		for _, id := range tc.sound {
+			c.jobs[id].nDone = 1
+		}
+		for _, f := range tc.failures {
+			c.taskFailed(c.jobs[f.job], c.machines[f.machine], f.job+"/0")
+		}
+		for _, id := range tc.proven {
+			c.taskSucceeded(c.jobs[id], c.machines["m-4"])
+		}
+		for name, m := range c.machines {
+			if want := slices.Contains(tc.faulty, name); m.faulty != want {
+				t.Errorf("%s: %s is faulty: %t", tc.what, name, m.faulty)
+			}
+		}
+		for id, j := range c.jobs {
+			if want := slices.Contains(tc.suspect, id); j.suspect != want {
+				t.Errorf("%s: job %s is suspect: %t", tc.what, id, j.suspect)
+			}
+		}
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -412,9 +412,8 @@
 func (c *Core) exited(j *job, n int, t *task, m *machine, tr wire.TaskReport) {
 	attempt := t.attempt
 	if tr.Why == wire.Done && !j.cancelled {
-		m.errors, j.suspect = 0, false
-		clear(j.avoid)
 		m.fetched(j.spec.Image, j.spec.ImageGB)
+		c.taskSucceeded(j, m)
 		c.change(j, n, standing{done, attempt, ""})
 		c.early(0)
 		return
@@ -425,25 +424,7 @@
 	j.spoiled = j.nPlaced > 0
 	switch tr.Why {
 	case wire.Failed:
-		j.avoid[m.name], j.failedAt = true, c.now
-		j.failures++
-		bad := c.failsAnywhere(j)
-		if !bad && !j.suspect {
-			m.errors++
-		}
-		c.log(0, "task failed", "task", tr.Task, "machine", m.name, "job_failed_on", len(j.avoid), "machine_failures", m.errors)
-		if m.errors >= 2 && !m.sick {
-			m.sick = true
-			c.info("machine quarantined", "machine", m.name, "failures", m.errors)
-		}
-		if bad {
-			// It fails wherever it runs: tried again ever more rarely.
-			c.info("job fails wherever it runs", "job", j.id, "machines", len(j.avoid))
-			j.suspect = true
-			j.backOff = min(60*Second, max(4*Second, 2*j.backOff))
-			j.holdOff = c.now + c.jitter(j.backOff)
-			clear(j.avoid)
-		}
+		c.taskFailed(j, m, tr.Task)
 	case wire.NoRoom, wire.Busy, wire.NoSuch:
 		t.holdOff = c.now + 3*Second
 		c.log(0, "start refused", "task", tr.Task, "machine", m.name, "why", tr.Why)
@@ -451,25 +432,6 @@
 	c.early(0)
 }
 
-// failsAnywhere tells whether a job's failures are its own fault: none of its
-// tasks was ever done, it failed on three machines that nothing else shows to
-// be sick, and on more than hold tasks of it that did not fail. Without the last
-// two, a gang of eight that met one sick machine at each of three attempts was
-// put behind all others, and began after ten minutes.
-func (c *Core) failsAnywhere(j *job) bool {
-	n := 0
-	for name := range j.avoid {
-		if m := c.machines[name]; m != nil && !m.sick {
-			n++
-		}
-	}
-	return n >= 3 && n > j.nPlaced && j.nDone == 0
-}
-
-// outOfTurn tells whether a job that fails wherever it runs must let all others
-// go first. After two minutes it is tried once in its own turn.
-func (c *Core) outOfTurn(j *job) bool { return j.suspect && c.now < j.failedAt+120*Second }
-
 // gone takes in that a task is proven to be on its machine no more.
 func (c *Core) gone(j *job, n int, why string) {
 	t := j.task(n)
@@ -676,10 +638,10 @@
 		c.remove(m, "silent")
 	case m.deaf > 0 && c.now > m.deaf+c.silence()+secs(c.set.Facts.Workers.ReportS):
 		c.remove(m, "does nothing that it is told")
-	case m.notice > 0 || m.sick:
+	case m.notice > 0 || m.faulty:
 		for _, id := range m.tasks() {
 			j := c.jobs[id.job]
-			if t := j.task(id.n); !m.sick && j.spec.CheckpointS > 0 && t.leaving == 0 {
+			if t := j.task(id.n); !m.faulty && j.spec.CheckpointS > 0 && t.leaving == 0 {
 				c.leave(j, t, "the machine will be taken")
 			}
 		}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -149,7 +149,7 @@
 
 	placing  bool            // a gang whose start is being committed
 	avoid    map[string]bool // machines that it failed on
-	suspect  bool            // fails wherever it runs
+	suspect  bool            // fails wherever it runs: submitted with a mistake
 	failedAt int64
 	failures int  // since this controller plans it
 	spoiled  bool // a task of this attempt of the gang has exited
@@ -208,8 +208,8 @@
 	notice   int64          // taken at about this time; 0: no notice
 	idleAt   int64
 	images   []image
-	errors   int
-	sick     bool
+	failures failures
+	faulty   bool // fails what it is given: drained and returned
 	claim    string
 	claimTo  int64
 	reported []wire.TaskReport
@@ -588,7 +588,7 @@
 	delete(c.tombs, r.Name)
 	moved := false
 	if m == nil {
-		m = &machine{name: r.Name, left: map[string]bool{}, bornAt: c.now, waitFrom: c.now, moveTo: -1}
+		m = &machine{name: r.Name, left: map[string]bool{}, failures: failures{unexplained: map[string]bool{}}, bornAt: c.now, waitFrom: c.now, moveTo: -1}
 		if r.At > 0 && r.At < c.now {
 			m.bornAt = r.At
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -71,7 +71,7 @@
 	}
 	var list []*sched.Machine
 	for _, m := range c.order {
-		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 || m.deaf > 0 || c.ours(m) != nil && c.overdue(m) {
+		if m.typ == nil || m.rec.Gone || m.faulty || m.notice > 0 || m.deaf > 0 || c.ours(m) != nil && c.overdue(m) {
 			continue
 		}
 		sm := c.shownMachine(m)
@@ -184,7 +184,7 @@
 		}
 		sj := c.shown(j)
 		if c.now >= j.holdOff && !(j.spec.Kind == wire.Gang && j.nPlaced > 0 && !j.gathering()) {
-			sj.Pending = len(j.waiting(c.now, 500))
+			sj.Pending = len(j.waiting(c.now, c.mostToPlace(j)))
 		}
 		jobs[id], shown[id] = j, sj
 		v.Jobs = append(v.Jobs, sj)
@@ -197,7 +197,7 @@
 	}
 	for _, m := range c.order {
 		name := m.name
-		if m.typ == nil || m.rec.Gone || m.sick || m.notice > 0 {
+		if m.typ == nil || m.rec.Gone || m.faulty || m.notice > 0 {
 			continue
 		}
 		sm := c.shownMachine(m)
@@ -327,7 +327,7 @@
 	for _, s := range plan.Starts {
 		j := jobs[s.Job.ID]
 		if _, ok := next[j.id]; !ok {
-			next[j.id] = j.waiting(c.now, 500)
+			next[j.id] = j.waiting(c.now, placeMost)
 			if j.spec.Kind == wire.Gang {
 				gangAttempt[j.id] = j.lastAttempt()
 				if !j.gathering() {
@@ -476,7 +476,7 @@
 }
 
 func (c *Core) lendable(m *machine) bool {
-	return c.ours(m) != nil && m.ready && c.promisedTo(m) < 0 && c.emptied(m) && m.allEnded() && !m.busy() && !m.rec.Gone && !m.sick &&
+	return c.ours(m) != nil && m.ready && c.promisedTo(m) < 0 && c.emptied(m) && m.allEnded() && !m.busy() && !m.rec.Gone && !m.faulty &&
 		m.notice == 0 && !c.claimed(m) && m.deaf == 0 && c.now < m.seenAt+c.lately()
 }
 
@@ -504,7 +504,7 @@
 		switch {
 		case c.lendable(m):
 			c.lend(m, a.Part)
-		case m.moveTo >= 0 || c.promisedTo(m) >= 0 || !m.ready || m.rec.Gone || m.sick || m.notice > 0 || c.claimed(m):
+		case m.moveTo >= 0 || c.promisedTo(m) >= 0 || !m.ready || m.rec.Gone || m.faulty || m.notice > 0 || c.claimed(m):
 		case a.Spare:
 			c.info("spare machine is given once it is empty", "machine", m.name, "to", a.Part, "tasks", len(m.on))
 			m.moveTo, m.evict = a.Part, false
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -314,6 +314,7 @@
 		case wk.w.results[t.id]:
 			t.exit(wire.Done)
 		case wk.sick || truth.Bad:
+			wk.w.happened("tasks that failed")
 			t.later(second, func() { t.exit(wire.Failed) })
 		case spec.Kind == wire.Gang:
 			t.state = wire.Waiting
