--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -674,7 +674,8 @@
 		delete(p.dirty, j.id)
 		c.finals.add(j.id, f.states[i])
 		c.learn(j.id, f.states[i].outcome(), f.states[i].At)
-		c.info("job over", "job", j.id, "state", f.states[i].State, "after_s", (c.now-j.at)/Second)
+		c.info("job over", "job", j.id, "team", j.spec.Team, "class", j.spec.Class, "state", f.states[i].State,
+			"after_s", (c.now-j.at)/Second, "deadline_s", j.spec.DeadlineS)
 	}
 	p.fresh = slices.DeleteFunc(p.fresh, func(n *newMachines) bool {
 		sent := slices.Contains(f.fresh, n)
