--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -5,12 +5,15 @@
 // A task that fails says that its job or its machine is at fault, not which of
 // the two. This file tells them apart: a job of which a task was ever done is
 // sound, so its failures are the machine's. Until then a job that failed on one
-// machine alone speaks against that machine, and one that failed on several
-// speaks against none.
+// machine alone speaks against that machine. One that failed on several says
+// little: only several such jobs in a row speak against the machine.
 
 const (
 	// faultyAfter is how many failures of its own quarantine a machine.
 	faultyAfter = 2
+	// faultyAfterJobs is how many jobs that failed elsewhere as well, with nothing
+	// done in between, quarantine it too.
+	faultyAfterJobs = 3
 	// suspectAfter is on how many machines a job has failed when it is taken for
 	// one that fails wherever it runs.
 	suspectAfter = 3
@@ -55,35 +58,40 @@
 	} else {
 		m.failures.unexplained[j.id] = true
 	}
-	c.info("task failed", "task", task, "machine", m.name, "job_failed_on", len(j.avoid), "machine_failures", c.ownFailures(m))
+	c.info("task failed", "task", task, "machine", m.name, "job_failed_on", len(j.avoid))
 	c.quarantine(m)
 	if c.failsAnywhere(j) {
 		c.suspectJob(j)
 	}
 }
 
-// ownFailures counts the failures that speak against a machine.
-func (c *Core) ownFailures(m *machine) int {
-	n := m.failures.own
+// evidence counts the failures that speak against a machine, and the jobs that
+// failed there and elsewhere.
+func (c *Core) evidence(m *machine) (own, shared int) {
+	own = m.failures.own
 	for id := range m.failures.unexplained {
 		j := c.jobs[id]
-		if j == nil {
-			delete(m.failures.unexplained, id) // it is over, and never was done
-			continue
-		}
-		if len(j.avoid) == 1 && j.avoid[m.name] && !j.suspect && !j.halted() {
-			n++
+		switch {
+		case j == nil:
+			delete(m.failures.unexplained, id) // it is over, and nothing of it was done
+		case j.suspect || j.halted():
+		case len(j.avoid) == 1 && j.avoid[m.name]:
+			own++
+		default:
+			shared++
 		}
 	}
-	return n
+	return own, shared
 }
 
 // quarantine has a machine drained and returned once its failures are its own.
 func (c *Core) quarantine(m *machine) {
-	if n := c.ownFailures(m); n >= faultyAfter && !m.faulty {
-		m.faulty = true
-		c.info("machine quarantined", "machine", m.name, "failures", n)
+	own, shared := c.evidence(m)
+	if m.faulty || own < faultyAfter && own+shared < faultyAfterJobs {
+		return
 	}
+	m.faulty = true
+	c.info("machine quarantined", "machine", m.name, "failures", own, "jobs_failed_elsewhere_too", shared)
 }
 
 // suspectJob has a job that fails wherever it runs tried again ever more rarely.
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -41,6 +41,7 @@
 		{what: "two such jobs on the same machines", failures: []failure{{"a", "m-0"}, {"a", "m-1"}, {"b", "m-1"}, {"b", "m-2"}, {"b", "m-3"}, {"a", "m-2"}}, suspect: []string{"a", "b"}},
 		{what: "two jobs that failed nowhere else", failures: []failure{{"a", "m-0"}, {"b", "m-0"}}, faulty: []string{"m-0"}},
 		{what: "two tasks of a sound job", sound: []string{"a"}, failures: []failure{{"a", "m-0"}, {"a", "m-0"}}, faulty: []string{"m-0"}},
+		{what: "three jobs that failed elsewhere too, one after the other", failures: []failure{{"a", "m-0"}, {"a", "m-1"}, {"b", "m-0"}, {"b", "m-2"}, {"c", "m-3"}, {"c", "m-0"}}, faulty: []string{"m-0"}},
 		{what: "two jobs on two machines, done elsewhere then", failures: []failure{{"a", "m-0"}, {"a", "m-1"}, {"b", "m-0"}, {"b", "m-1"}}, proven: []string{"a", "b"}, faulty: []string{"m-0", "m-1"}},
 	} {
 		c := faultsOf(t)
