--- /dev/null
+++ b/internal/core/lending_test.go
@@ -0,0 +1,31 @@
+package core
+
+import (
+	"strconv"
+	"testing"
+)
+
+// TestEmptiedLooksAtAll guards against a decision that depends on the order of a
+// map: of the jobs whose tasks left a machine all that are committed are
+// forgotten at once, whatever stands before them.
+func TestEmptiedLooksAtAll(t *testing.T) {
+	c := faultsOf(t)
+	m := c.machines["m-0"]
+	m.left = map[string]bool{"a": true}
+	c.jobs["a"].nChanged = 1
+	for i := range 30 {
+		id := strconv.Itoa(i)
+		c.jobs[id] = &job{id: id}
+		m.left[id] = true
+	}
+	if c.emptied(m) {
+		t.Error("a task's leaving is not committed, and the machine counts as empty")
+	}
+	for i := range 30 {
+		c.jobs[strconv.Itoa(i)].nChanged = 1 // something else of them is being committed
+	}
+	c.jobs["a"].nChanged = 0
+	if !c.emptied(m) {
+		t.Error("what left was committed, and the machine does not count as empty")
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -754,18 +754,19 @@
 
 // emptied tells whether a machine has no tasks and that is committed. A
 // machine lent while the record still named a task on it was seen to start
-// that task for the borrower, after its owner had placed it elsewhere.
+// that task for the borrower, after its owner had placed it elsewhere. Every job
+// whose tasks left is looked at: stopping at the first that is not committed left
+// it to the order of a map which were still looked at later (random day 1026).
 func (c *Core) emptied(m *machine) bool {
 	if len(m.on) > 0 {
 		return false
 	}
 	for id := range m.left {
-		if j := c.jobs[id]; j != nil && !j.over && j.nChanged > 0 {
-			return false
+		if j := c.jobs[id]; j == nil || j.over || j.nChanged == 0 {
+			delete(m.left, id)
 		}
-		delete(m.left, id)
 	}
-	return true
+	return len(m.left) == 0
 }
 
 // orphans takes tasks off machines that have no record: a record goes only
