--- a/internal/rehearsal/checker.go
+++ b/internal/rehearsal/checker.go
@@ -48,8 +48,6 @@
 		}
 	}
 	c.on[t.id] = append(c.on[t.id], t)
-	truth := c.w.truth[t.job]
-	spec := truth.spec(0)
 	if u := c.w.byID[t.job]; u != nil {
 		for _, o := range u.needs {
 			if !c.complete(o) {
@@ -60,15 +58,26 @@
 	if at, ok := c.killed[t.job]; ok && c.w.now > at+int64(c.w.sc.CancelS*float64(second)) {
 		c.breaks("ran_cancelled", t.id+" started")
 	}
-	if spec.Types != nil && spec.Types[0] != wk.typ.Name || spec.Zone != "" && spec.Zone != wk.zone || wk.spot && !spec.Spot {
+	spec := c.w.truth[t.job].spec(0)
+	if !allowed(spec, wk) {
 		c.breaks("wrong_place", fmt.Sprintf("%s on %s in %s, spot %t", t.id, wk.typ.Name, wk.zone, wk.spot))
 	}
 	c.count(t, 1)
+	c.zonesAndQuota(t, spec, wk.zone)
+}
+
+// allowed tells whether a job permits a machine's type, zone and kind.
+func allowed(spec wire.Job, wk *worker) bool {
+	return (spec.Types == nil || spec.Types[0] == wk.typ.Name) && (spec.Zone == "" || spec.Zone == wk.zone) && (spec.Spot || !wk.spot)
+}
+
+// zonesAndQuota checks a job's zones and its team's limit with one task more.
+func (c *checker) zonesAndQuota(t *wtask, spec wire.Job, zone string) {
 	inZone, used := c.inZone[t.job], c.used[spec.Team]
 	if spec.OneZone && len(inZone) > 1 {
 		c.breaks("wrong_place", t.id+" in a second zone")
 	}
-	if spec.Spread && inZone[wk.zone] > (spec.Tasks+1)/2 {
+	if spec.Spread && inZone[zone] > (spec.Tasks+1)/2 {
 		c.breaks("wrong_place", t.id+" makes too many in its zone")
 	}
 	for _, team := range c.w.sc.Teams {
@@ -172,10 +181,8 @@
 	if state == wire.Cancelled && !u.asked && !u.withdrawn() {
 		c.breaks("went_back", u.id+" called cancelled though its user did not ask")
 	}
-	if (state == wire.Pending || state == wire.Running) && u.before(func(o *user) bool {
-		at, ok := c.killed[o.id]
-		return ok && c.w.now > at+int64(c.w.sc.CancelS*float64(second))
-	}) {
+	unfinished := state == wire.Pending || state == wire.Running
+	if unfinished && u.before(c.longCancelled) {
 		c.breaks("orphaned", u.id+" is called "+state)
 	}
 	if u.final != "" && state != u.final {
@@ -196,11 +203,33 @@
 	u.told = state
 }
 
+// longCancelled tells whether a user was told more than cancel_s ago that the job is
+// cancelled.
+func (c *checker) longCancelled(u *user) bool {
+	at, ok := c.killed[u.id]
+	return ok && c.w.now > at+int64(c.w.sc.CancelS*float64(second))
+}
+
 // atEnd checks what the scenario expects.
 func (c *checker) atEnd(start int64) {
 	if c.starts == 0 {
 		c.breaks("nothing_ran", "no task was started")
 	}
+	c.budgets()
+	c.counts()
+	c.known()
+	if !c.w.sc.Unserved {
+		c.served()
+	}
+	for _, e := range c.w.sc.Expects {
+		for k := range max(1, e.Count) {
+			c.expected(e, fmt.Sprintf("wk-%06d", e.ID+k), start)
+		}
+	}
+}
+
+// budgets checks how much was asked of the services, and how many machines there were.
+func (c *checker) budgets() {
 	for _, n := range []struct {
 		what      string
 		had, most int
@@ -218,6 +247,10 @@
 			c.breaks("budget", fmt.Sprintf("%d %s, at most %d", n.had, n.what, n.most))
 		}
 	}
+}
+
+// counts checks how often what the scenario names happened.
+func (c *checker) counts() {
 	for _, what := range slices.Sorted(maps.Keys(c.w.sc.Least)) {
 		if n := c.w.seen[what]; n < c.w.sc.Least[what] {
 			c.breaks("scenario", fmt.Sprintf("%d %s, at least %d", n, what, c.w.sc.Least[what]))
@@ -229,26 +262,21 @@
 		}
 	}
 	c.w.say("brought about: %v", c.w.seen)
-	c.known()
-	if !c.w.sc.Unserved {
-		c.served()
-	}
-	for _, e := range c.w.sc.Expects {
-		for k := range max(1, e.Count) {
-			id := fmt.Sprintf("wk-%06d", e.ID+k)
-			for _, u := range c.w.users {
-				if u.id != id {
-					continue
-				}
-				if e.State == wire.Done && u.told == wire.Cancelled && (u.calledOff || u.before(func(o *user) bool { return o.calledOff })) {
-					continue // a trouble called it, or one that it needs, off
-				}
-				if u.told != e.State {
-					c.breaks("expected", fmt.Sprintf("%s %s, is %q", id, e.State, u.told))
-				} else if e.ByS > 0 && u.finalAt > start+int64(e.ByS*float64(second)) {
-					c.breaks("expected", fmt.Sprintf("%s by %.0f s, came at %.1f", id, e.ByS, float64(u.finalAt-start)/float64(second)))
-				}
-			}
+}
+
+// expected checks what became of one job, and when.
+func (c *checker) expected(e Expected, id string, start int64) {
+	for _, u := range c.w.users {
+		if u.id != id {
+			continue
+		}
+		if e.State == wire.Done && u.told == wire.Cancelled && (u.calledOff || u.before(func(o *user) bool { return o.calledOff })) {
+			continue // a trouble called it, or one that it needs, off
+		}
+		if u.told != e.State {
+			c.breaks("expected", fmt.Sprintf("%s %s, is %q", id, e.State, u.told))
+		} else if e.ByS > 0 && u.finalAt > start+int64(e.ByS*float64(second)) {
+			c.breaks("expected", fmt.Sprintf("%s by %.0f s, came at %.1f", id, e.ByS, float64(u.finalAt-start)/float64(second)))
 		}
 	}
 }
@@ -270,7 +298,7 @@
 		return
 	}
 	for _, u := range c.w.users {
-		if !u.accepted || u.asked || u.final != "" || u.job.Bad || u.withdrawn() || u.before(func(o *user) bool { return o.final != wire.Done }) || !c.fits(u) {
+		if !u.counts() || u.final != "" || u.before(func(o *user) bool { return o.final != wire.Done }) || !c.fits(u) {
 			u.roomSince = 0
 			continue
 		}
@@ -310,19 +338,18 @@
 			return false
 		}
 	}
+	return c.roomFor(spec, need) >= need
+}
+
+// roomFor is for how many tasks of a job, up to need, the machines have room.
+func (c *checker) roomFor(spec wire.Job, need int) int {
 	room := map[string]int{}
 	sum := 0
 	for _, wk := range c.w.workers {
-		if !wk.up || wk.gone || wk.hung || wk.deaf || wk.mute || wk.sick || wk.noticeAt > 0 || spec.Types != nil && spec.Types[0] != wk.typ.Name || spec.Zone != "" && spec.Zone != wk.zone || wk.spot && !spec.Spot {
+		if !wk.well() || wk.noticeAt > 0 || !allowed(spec, wk) {
 			continue
 		}
-		cpus, gpus := wk.typ.CPUs, wk.typ.GPUs
-		for _, t := range wk.tasks {
-			if t.state != wire.Exited {
-				s := c.w.truth[t.job].spec(0)
-				cpus, gpus = cpus-s.CPUs, gpus-s.GPUs
-			}
-		}
+		cpus, gpus := c.free(wk)
 		for cpus >= spec.CPUs-1e-9 && gpus >= spec.GPUs-1e-9 && sum < need {
 			cpus, gpus = cpus-spec.CPUs, gpus-spec.GPUs
 			if spec.Spread && room[wk.zone] >= (spec.Tasks+1)/2 {
@@ -336,38 +363,37 @@
 			}
 		}
 	}
-	return sum >= need
+	return sum
+}
+
+// free is what the tasks on a machine leave of it.
+func (c *checker) free(wk *worker) (cpus, gpus float64) {
+	cpus, gpus = wk.typ.CPUs, wk.typ.GPUs
+	for _, t := range wk.tasks {
+		if t.state != wire.Exited {
+			s := c.w.truth[t.job].spec(0)
+			cpus, gpus = cpus-s.CPUs, gpus-s.GPUs
+		}
+	}
+	return cpus, gpus
 }
 
 // served: at least half of every class, of every team and of every class's
 // largest jobs is done, or runs if it is a service, and the largest began
 // within four minutes.
 func (c *checker) served() {
-	largest := map[string]int{}
-	for _, u := range c.w.users {
-		class := u.job.spec(0).Class
-		largest[class] = max(largest[class], u.job.Tasks)
-	}
+	largest := c.largest()
 	all, got := map[string]int{}, map[string]int{}
 	for _, u := range c.w.users {
-		if !u.accepted || u.asked || u.job.Bad || u.withdrawn() {
+		if !u.counts() {
 			continue
 		}
-		// Its time counts from when it could begin.
-		ready := u.sent
-		for _, o := range u.needs {
-			if at, ok := c.ended[o.id]; ok {
-				ready = max(ready, at)
-			} else {
-				ready = c.w.now
-			}
-		}
 		spec := u.job.spec(0)
 		groups := []string{"class " + spec.Class, "team " + spec.Team}
 		began, ok := c.begun[u.id]
 		if u.job.Tasks == largest[spec.Class] {
 			groups = append(groups, "largest of "+spec.Class)
-			if at := ready + 240*second; c.w.now > at && (!ok || began > at) {
+			if at := c.readyAt(u) + 240*second; c.w.now > at && (!ok || began > at) {
 				c.breaks("late", u.id+" had not begun after four minutes")
 			}
 		}
@@ -384,3 +410,32 @@
 		}
 	}
 }
+
+// counts tells whether a job was to be served: accepted, without a mistake, and
+// not called off.
+func (u *user) counts() bool {
+	return u.accepted && !u.asked && !u.job.Bad && !u.withdrawn()
+}
+
+// largest is how many tasks the largest jobs of each class have.
+func (c *checker) largest() map[string]int {
+	most := map[string]int{}
+	for _, u := range c.w.users {
+		class := u.job.spec(0).Class
+		most[class] = max(most[class], u.job.Tasks)
+	}
+	return most
+}
+
+// readyAt is when a job could begin: once all that it needs was over.
+func (c *checker) readyAt(u *user) int64 {
+	ready := u.sent
+	for _, o := range u.needs {
+		at, ok := c.ended[o.id]
+		if !ok {
+			return c.w.now
+		}
+		ready = max(ready, at)
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/rehearsal/effects.go
@@ -0,0 +1,142 @@
+package rehearsal
+
+import (
+	"fmt"
+
+	"spurmoor/internal/core"
+	"spurmoor/internal/wire"
+)
+
+// Time after which a call without an answer is given up.
+const (
+	storeWait   = 5 * second / 2
+	cloudWait   = 5 * second
+	commandWait = 3 * second
+)
+
+// effect carries out what a controller decided.
+func (w *World) effect(n *node, e any) {
+	switch v := e.(type) {
+	case core.Answer:
+		w.answerOf(n, v)
+	case core.StoreCall:
+		w.storeCall(n, v)
+	case core.CloudCall:
+		w.cloudCall(n, v)
+	case core.Push:
+		w.push(n, v)
+	case core.Tell:
+		hello := *v.Heartbeat
+		for _, o := range w.nodes {
+			if o != n {
+				w.carry(n, "peers", func() { w.carry(o, "peers", func() { w.step(o, core.PeerIn{Heartbeat: &hello}) }) })
+			}
+		}
+	case core.Log:
+		w.say("%s %s %s", n.name, v.Msg, fmt.Sprintln(v.Args...))
+	}
+}
+
+// once gives a function that hands a process the first of several inputs, unless it
+// has ended since.
+func (w *World) once(n *node) func(in any) {
+	epoch, answered := n.epoch, false
+	return func(in any) {
+		if answered {
+			return
+		}
+		answered = true
+		if n.epoch == epoch {
+			w.step(n, in)
+		}
+	}
+}
+
+func (w *World) answerOf(n *node, a core.Answer) {
+	if o, ok := a.Body.(wire.Orders); ok {
+		w.check.ordered(n, o.Commands)
+	}
+	if f := n.reqs[a.Req]; f != nil {
+		delete(n.reqs, a.Req)
+		f(a)
+	}
+}
+
+func (w *World) storeCall(n *node, v core.StoreCall) {
+	back := w.once(n)
+	w.after(storeWait+int64(v.WaitMs)*second/1000, func() { back(&core.StoreReply{Call: v.Call}) })
+	if w.txn(n, v) {
+		return
+	}
+	late := int64(0)
+	if v.Op == core.OpTxn && w.rng.Float64() < w.sc.Late {
+		late = w.rng.Int64N(8 * second)
+	}
+	w.after(late, func() {
+		w.carry(n, "store", func() {
+			if v.Op == core.OpTxn {
+				w.again(func() { w.store.call(n, v, func(*core.StoreReply) {}) })
+			}
+			w.store.call(n, v, func(r *core.StoreReply) {
+				if v.Op != core.OpFollow && w.rng.Float64() < w.sc.Lost || v.WaitMs > 0 && n.watchHangs {
+					return
+				}
+				w.carry(n, "store", func() { back(r) })
+			})
+		})
+	})
+}
+
+func (w *World) cloudCall(n *node, v core.CloudCall) {
+	back := w.once(n)
+	w.after(cloudWait, func() { back(&core.CloudReply{Call: v.Call}) })
+	w.after(second/5, func() {
+		w.carry(n, "cloud", func() {
+			r := w.cloud.call(v)
+			if v.Op == core.OpRent || v.Op == core.OpDelete {
+				w.again(func() { w.cloud.call(v) })
+			}
+			w.after(second/20, func() {
+				w.carry(n, "cloud", func() { back(r) })
+			})
+		})
+	})
+}
+
+// push carries commands to a worker.
+func (w *World) push(n *node, v core.Push) {
+	w.check.ordered(n, v.Body.Commands)
+	back := w.once(n)
+	answer := core.Pushed{Machine: v.Machine, Token: v.Body.Token, Starts: v.Starts}
+	if n.pushing >= n.pushes {
+		answer.Unsent = true
+		back(answer)
+		return
+	}
+	n.pushing++
+	w.pushing = max(w.pushing, n.pushing)
+	settled := false
+	settle := func(a core.Pushed) {
+		if !settled {
+			settled = true
+			n.pushing--
+			back(a)
+		}
+	}
+	w.after(commandWait, func() { settle(answer) })
+	wk := w.workerAt(v.Addr)
+	if wk == nil {
+		return
+	}
+	w.between(n, wk, func() {
+		if wk.gone || !wk.up || wk.deaf {
+			return
+		}
+		wk.awake(func() {
+			answered := answer
+			answered.Status, answered.Report = wk.commands(v.Body)
+			w.again(func() { wk.awake(func() { wk.commands(v.Body) }) })
+			w.between(n, wk, func() { settle(answered) })
+		})
+	})
+}
--- a/internal/rehearsal/loopback_test.go
+++ b/internal/rehearsal/loopback_test.go
@@ -205,8 +205,8 @@
 		return "127.0.0.1:1"
 	}
 	srv := &http.Server{Handler: h}
-	go srv.Serve(ln)
-	l.t.Cleanup(func() { srv.Close() })
+	go func() { _ = srv.Serve(ln) }() // until it is closed
+	l.t.Cleanup(func() { _ = srv.Close() })
 	return ln.Addr().String()
 }
 
@@ -328,7 +328,7 @@
 	if err != nil {
 		return 0, nil
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, nil
@@ -364,6 +364,51 @@
 	for i := range 3 {
 		l.ready(i)
 	}
+	l.badInput()
+	var ids []string
+	for n, j := range []Job{
+		{Tasks: 6, GPUs: 1, RunS: 1, Team: "norte"},
+		{Tasks: 2, GPUs: 4, RunS: 1, Team: "sur", Kind: wire.Gang, Priority: "urgent"},
+		{Tasks: 4, GPUs: 1, RunS: 2, Team: "oeste"},
+	} {
+		ids = append(ids, l.submit(n+1, j))
+	}
+	daemon := l.submit(10, Job{Tasks: 2, GPUs: 1, Team: "norte", Kind: wire.Daemon})
+	l.becomes(daemon, 1, wire.Running)
+	l.pipeline()
+	wide := l.explains()
+	l.cancel(wide, 1)
+	for _, id := range ids {
+		l.becomes(id, 2, wire.Done)
+	}
+	l.commandLine(bin)
+	more := l.submit(20, Job{Tasks: 6, GPUs: 1, RunS: 3, Team: "norte"})
+	l.kill(0)
+	last := l.submit(22, Job{Tasks: 2, GPUs: 1, RunS: 1, Team: "sur"})
+	l.start(0, bin)
+	l.becomes(more, 1, wire.Done)
+	l.becomes(last, 1, wire.Done)
+	for i := range 3 {
+		l.kill(i)
+	}
+	for i := range 3 {
+		l.start(i, bin)
+	}
+	l.cancel(daemon, 2)
+	l.until("its replicas are gone", func() bool {
+		var on int
+		l.do(func() { on = len(l.w.check.on[daemon+"/0"]) + len(l.w.check.on[daemon+"/1"]) })
+		return on == 0
+	})
+	for _, id := range append(ids, more, last) {
+		l.becomes(id, 0, wire.Done)
+	}
+	l.unbroken()
+}
+
+// badInput sends what must be refused, and how.
+func (l *loopback) badInput() {
+	l.t.Helper()
 	for _, c := range []struct {
 		method, path, body string
 		status             int
@@ -381,17 +426,12 @@
 			return s == c.status
 		})
 	}
-	var ids []string
-	for n, j := range []Job{
-		{Tasks: 6, GPUs: 1, RunS: 1, Team: "norte"},
-		{Tasks: 2, GPUs: 4, RunS: 1, Team: "sur", Kind: wire.Gang, Priority: "urgent"},
-		{Tasks: 4, GPUs: 1, RunS: 2, Team: "oeste"},
-	} {
-		ids = append(ids, l.submit(n+1, j))
-	}
-	daemon := l.submit(10, Job{Tasks: 2, GPUs: 1, Team: "norte", Kind: wire.Daemon})
-	l.becomes(daemon, 1, wire.Running)
-	// A pipeline: explained, cancelled in its middle; nothing waits for a service.
+}
+
+// pipeline has jobs that wait for others explained, and cancelled in the middle;
+// nothing waits for a service.
+func (l *loopback) pipeline() {
+	l.t.Helper()
 	first := l.submit(30, Job{Tasks: 1, RunS: 600, Team: "sur"})
 	second := l.submit(31, Job{Tasks: 2, RunS: 20, Team: "oeste", Needs: []int{30}})
 	third := l.submit(32, Job{Tasks: 1, RunS: 5, Team: "norte", Needs: []int{31, 30}, DeadlineS: 60, Priority: "urgent"})
@@ -408,7 +448,12 @@
 	l.becomes(third, 0, wire.Cancelled)
 	l.becomes(l.submit(34, Job{RunS: 1, Needs: []int{32, 30}}), 1, wire.Cancelled)
 	l.cancel(first, 0)
-	// A job that nothing can run for now says so, to whoever asks its holder.
+}
+
+// explains submits a job that nothing can run for now: whoever asks its holder is
+// told so.
+func (l *loopback) explains() string {
+	l.t.Helper()
 	wide := l.submit(13, Job{Tasks: 30, GPUs: 4, RunS: 60, Team: "norte"})
 	l.until("it is said why "+wide+" waits and when it should be done", func() bool {
 		for n := range 3 {
@@ -420,16 +465,17 @@
 		}
 		return false
 	})
-	l.cancel(wide, 1)
-	for _, id := range ids {
-		l.becomes(id, 2, wire.Done)
-	}
-	// The command line, as an owner would use it.
+	return wide
+}
+
+// commandLine uses the commands as an owner would.
+func (l *loopback) commandLine(bin string) {
+	l.t.Helper()
 	cli := func(args ...string) (string, int) {
 		cmd := exec.Command(bin, append(args, "--addr", l.nodes[1])...)
 		out, err := cmd.Output()
 		if err != nil && cmd.ProcessState == nil {
-			t.Fatal(err)
+			l.t.Fatal(err)
 		}
 		return string(out), cmd.ProcessState.ExitCode()
 	}
@@ -440,11 +486,11 @@
 	})
 	file := filepath.Join(l.dir, "job.json")
 	if err := os.WriteFile(file, submission(mine.spec(15)), 0o600); err != nil {
-		t.Fatal(err)
+		l.t.Fatal(err)
 	}
 	behind := filepath.Join(l.dir, "behind.json")
 	if err := os.WriteFile(behind, submission(Job{RunS: 5, Needs: []int{15}}.spec(16)), 0o600); err != nil {
-		t.Fatal(err)
+		l.t.Fatal(err)
 	}
 	for _, c := range []struct {
 		args []string
@@ -465,28 +511,6 @@
 			return code == c.code && strings.Contains(out, c.says)
 		})
 	}
-	more := l.submit(20, Job{Tasks: 6, GPUs: 1, RunS: 3, Team: "norte"})
-	l.kill(0)
-	last := l.submit(22, Job{Tasks: 2, GPUs: 1, RunS: 1, Team: "sur"})
-	l.start(0, bin)
-	l.becomes(more, 1, wire.Done)
-	l.becomes(last, 1, wire.Done)
-	for i := range 3 {
-		l.kill(i)
-	}
-	for i := range 3 {
-		l.start(i, bin)
-	}
-	l.cancel(daemon, 2)
-	l.until("its replicas are gone", func() bool {
-		var on int
-		l.do(func() { on = len(l.w.check.on[daemon+"/0"]) + len(l.w.check.on[daemon+"/1"]) })
-		return on == 0
-	})
-	for _, id := range append(ids, more, last) {
-		l.becomes(id, 0, wire.Done)
-	}
-	l.unbroken()
 }
 
 func freePort(t *testing.T) string {
@@ -494,7 +518,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
 }
 
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -178,23 +178,9 @@
 	}
 	switch v.Op {
 	case core.OpGet:
-		if k := s.keys[v.Key]; k != nil {
-			r.Item = wire.Item{Key: v.Key, Value: k.value, Version: k.version}
-		} else {
-			r.Status = 404
-		}
+		s.get(v.Key, r)
 	case core.OpList:
-		r.Items.Revision = s.rev
-		for _, k := range s.sorted(core.Live) {
-			if k <= v.Key {
-				continue
-			}
-			if len(r.Items.Items) == 200 {
-				r.Items.More = true
-				break
-			}
-			r.Items.Items = append(r.Items.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
-		}
+		s.list(v.Key, r)
 	case core.OpHold:
 		s.lease++
 		s.leases[s.lease] = &hold{v.TTLMs * second / 1000, s.w.now + v.TTLMs*second/1000}
@@ -206,26 +192,9 @@
 			r.Status = 404
 		}
 	case core.OpFollow:
-		if v.Since < s.trimmed {
-			r.Status = 410
-			break
-		}
-		f := s.events(v.Since)
-		if len(f.Events) == 0 && v.WaitMs > 0 {
-			x := &watcher{n: n, since: v.Since, reply: func(got *core.StoreReply) {
-				got.Call = v.Call
-				reply(got)
-			}}
-			s.watch = append(s.watch, x)
-			s.w.after(int64(v.WaitMs)*second/1000, func() {
-				if !x.done && s.w.now >= s.down && !n.refused {
-					x.done = true
-					x.reply(&core.StoreReply{Status: 200, Follow: s.events(x.since)})
-				}
-			})
+		if s.follow(n, v, r, reply) {
 			return
 		}
-		r.Follow = f
 	case core.OpTxn:
 		s.txn(v.Txn, r)
 	}
@@ -233,6 +202,56 @@
 	s.wake()
 }
 
+func (s *store) get(key string, r *core.StoreReply) {
+	k := s.keys[key]
+	if k == nil {
+		r.Status = 404
+		return
+	}
+	r.Item = wire.Item{Key: key, Value: k.value, Version: k.version}
+}
+
+// listMost is how many keys a page holds.
+const listMost = 200
+
+func (s *store) list(after string, r *core.StoreReply) {
+	r.Items.Revision = s.rev
+	for _, k := range s.sorted(core.Live) {
+		if k <= after {
+			continue
+		}
+		if len(r.Items.Items) == listMost {
+			r.Items.More = true
+			break
+		}
+		r.Items.Items = append(r.Items.Items, wire.Item{Key: k, Value: s.keys[k].value, Version: s.keys[k].version})
+	}
+}
+
+// follow answers with the changes, or tells that it will once there are some.
+func (s *store) follow(n *node, v core.StoreCall, r *core.StoreReply, reply func(*core.StoreReply)) bool {
+	if v.Since < s.trimmed {
+		r.Status = 410
+		return false
+	}
+	r.Follow = s.events(v.Since)
+	if len(r.Follow.Events) > 0 || v.WaitMs == 0 {
+		return false
+	}
+	x := &watcher{n: n, since: v.Since, reply: func(got *core.StoreReply) {
+		got.Call = v.Call
+		reply(got)
+	}}
+	s.watch = append(s.watch, x)
+	s.w.after(int64(v.WaitMs)*second/1000, func() {
+		if !x.done && s.w.now >= s.down && !n.refused {
+			x.done = true
+			x.reply(&core.StoreReply{Status: 200, Follow: s.events(x.since)})
+		}
+	})
+	return true
+}
+
 func (s *store) txn(t *wire.Txn, r *core.StoreReply) {
 	ops := s.w.sc.TxnOps
 	if len(t.Then) > ops || len(t.If) > 4*ops {
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -131,14 +131,7 @@
 		if count == 0 {
 			return
 		}
-		var on []*worker
-		for n := range max(1, u.job.Tasks) {
-			for _, t := range w.check.on[fmt.Sprintf("%s/%d", u.id, n)] {
-				if t.state == wire.Running && (u.job.Kind == wire.Daemon || w.now-t.runFrom < int64(u.job.RunS*float64(second))/2) {
-					on = append(on, t.w)
-				}
-			}
-		}
+		on := w.runningOn(u)
 		if len(on) == 0 || u.asked || u.final != "" {
 			continue
 		}
@@ -157,6 +150,20 @@
 	}
 }
 
+// runningOn lists the machines on which a job's tasks run that have long to go.
+func (w *World) runningOn(u *user) []*worker {
+	var on []*worker
+	for n := range max(1, u.job.Tasks) {
+		for _, t := range w.check.on[fmt.Sprintf("%s/%d", u.id, n)] {
+			long := u.job.Kind == wire.Daemon || w.now-t.runFrom < int64(u.job.RunS*float64(second))/2
+			if t.state == wire.Running && long {
+				on = append(on, t.w)
+			}
+		}
+	}
+	return on
+}
+
 // ends is told of each task that completed: the job's user may call it off at
 // that very moment, or while its end is being recorded.
 func (w *World) ends(job string) {
--- a/internal/rehearsal/versions_test.go
+++ b/internal/rehearsal/versions_test.go
@@ -97,47 +97,13 @@
 // mid-run: jobs placed, a gang at work, one done, one cancelled and over, one
 // cancelled and at work.
 func TestReadsProduction(t *testing.T) {
-	raw, err := os.ReadFile("testdata/production/records.jsonl")
-	if err != nil {
-		t.Fatal(err)
-	}
 	sc, err := Parse([]byte("duration_s = 400\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	w := newWorld(sc, nil)
 	w.cloud.next = 100 // names are never given twice
-	for line := range strings.Lines(string(raw)) {
-		var it wire.Item
-		if err := json.Unmarshal([]byte(line), &it); err != nil {
-			t.Fatal(err)
-		}
-		if it.Key == "peer" {
-			var text string
-			if err := json.Unmarshal(it.Value, &text); err != nil {
-				t.Fatal(err)
-			}
-			b, err := base64.StdEncoding.DecodeString(text)
-			if err != nil {
-				t.Fatal(err)
-			}
-			h, err := peer.Decode(b)
-			if err != nil || h.Node != "nodo-1" || !h.StoreOK || h.Form != 0 || len(h.Idle) != 1 || len(h.Asks) != 1 || h.Asks[0].Tier != 7 {
-				t.Errorf("production's message read as %+v, %v", h, err)
-			}
-			continue
-		}
-		w.store.keys[it.Key] = &value{it.Value, it.Version, 0}
-		w.store.rev = max(w.store.rev, it.Version)
-		var j prodJob
-		if strings.HasPrefix(it.Key, "live/j/") && json.Unmarshal(it.Value, &j) == nil {
-			w.truth[j.Spec.ID] = Job{Kind: j.Spec.Kind, Team: j.Spec.Team, Priority: j.Spec.Priority, Tasks: j.Spec.Tasks,
-				CPUs: j.Spec.CPUs, GPUs: j.Spec.GPUs, RunS: 20, Spot: j.Spec.Spot, OneZone: j.Spec.OneZone}
-		}
-		if strings.HasPrefix(it.Key, "live/p/") {
-			delete(w.store.keys, it.Key) // the holders' leases have run out
-		}
-	}
+	loadProduction(t, w)
 	for _, n := range w.nodes {
 		if err := w.boot(n); err != nil {
 			t.Fatal(err)
@@ -167,6 +133,52 @@
 	}
 }
 
+// loadProduction fills the state service with production's records.
+func loadProduction(t *testing.T, w *World) {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production/records.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		var it wire.Item
+		if err := json.Unmarshal([]byte(line), &it); err != nil {
+			t.Fatal(err)
+		}
+		if it.Key == "peer" {
+			readsMessage(t, it.Value)
+			continue
+		}
+		w.store.keys[it.Key] = &value{it.Value, it.Version, 0}
+		w.store.rev = max(w.store.rev, it.Version)
+		var j prodJob
+		if strings.HasPrefix(it.Key, "live/j/") && json.Unmarshal(it.Value, &j) == nil {
+			w.truth[j.Spec.ID] = Job{Kind: j.Spec.Kind, Team: j.Spec.Team, Priority: j.Spec.Priority, Tasks: j.Spec.Tasks,
+				CPUs: j.Spec.CPUs, GPUs: j.Spec.GPUs, RunS: 20, Spot: j.Spec.Spot, OneZone: j.Spec.OneZone}
+		}
+		if strings.HasPrefix(it.Key, "live/p/") {
+			delete(w.store.keys, it.Key) // the holders' leases have run out
+		}
+	}
+}
+
+// readsMessage checks that a message of production's, in base64, means the same here.
+func readsMessage(t *testing.T, value []byte) {
+	t.Helper()
+	var text string
+	if err := json.Unmarshal(value, &text); err != nil {
+		t.Fatal(err)
+	}
+	b, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := peer.Decode(b)
+	if err != nil || h.Node != "nodo-1" || !h.StoreOK || h.Form != 0 || len(h.Idle) != 1 || len(h.Asks) != 1 || h.Asks[0].Tier != 7 {
+		t.Errorf("production's message read as %+v, %v", h, err)
+	}
+}
+
 // TestProductionReads has production's types read all that this version writes
 // on days with pipelines: nothing in a record that production writes back may
 // be lost by that, and what it reads means the same.
@@ -187,48 +199,19 @@
 			t.Fatal(err)
 		}
 		for _, key := range w.store.sorted("") {
-			var kind string
-			var to any
-			strict := true // it writes the record back, or takes it for its own
-			switch {
-			case strings.HasPrefix(key, "live/p/"):
-				kind, to = "part", &prodPart{}
-			case strings.HasPrefix(key, "live/l/"):
-				kind, to = "log", &prodEntry{}
-			case strings.HasPrefix(key, "live/j/"):
-				kind, to, strict = "job", &prodJob{}, false
-			case strings.HasPrefix(key, "over/"):
-				kind, to, strict = "final", &prodFinal{}, false
-			case key == "live/c":
-				kind, to = "catalogue", &wire.Catalog{}
-			case key == "live/a":
-				kind, to = "adoptions", &struct{}{}
-			case strings.HasPrefix(key, "live/v/"):
-				seen["form"]++ // passed over: no prefix that production knows
-				continue
-			default:
+			kind, to, strict := productionRecord(key)
+			if kind == "" {
 				t.Fatalf("%s: production does not know what %s is", name, key)
 			}
 			seen[kind]++
+			if to == nil {
+				continue // passed over: no prefix that production knows
+			}
 			val := w.store.keys[key].value
 			if err := json.Unmarshal(val, to, json.RejectUnknownMembers(strict)); err != nil {
 				t.Fatalf("%s: %s: %v in %s", name, key, err, val)
 			}
-			switch v := to.(type) {
-			case *prodJob:
-				if u := w.byID[v.Spec.ID]; u == nil || key != "live/j/"+u.id || v.Spec.Tasks != max(1, u.job.Tasks) || v.At == 0 {
-					t.Errorf("%s: %s read as %+v", name, key, v)
-				}
-			case *prodFinal:
-				if v.State != wire.Done && v.State != wire.Cancelled {
-					t.Errorf("%s: %s read as %+v", name, key, v)
-				}
-			case *prodEntry:
-				back, err := json.Marshal(v)
-				if err != nil || !bytes.Equal(back, val) {
-					t.Errorf("%s: %s would be written back as %s", name, val, back)
-				}
-			}
+			meansTheSame(t, w, name+": "+key, key, val, to)
 		}
 	}
 	for _, kind := range []string{"part", "log", "job", "final", "catalogue", "form"} {
@@ -236,6 +219,54 @@
 			t.Errorf("no record of the kind %s was written", kind)
 		}
 	}
+	productionReadsMessage(t)
+}
+
+// productionRecord gives a key's kind and production's type for it; strict: production
+// writes the record back, or takes it for its own.
+func productionRecord(key string) (kind string, to any, strict bool) {
+	switch {
+	case strings.HasPrefix(key, "live/p/"):
+		return "part", &prodPart{}, true
+	case strings.HasPrefix(key, "live/l/"):
+		return "log", &prodEntry{}, true
+	case strings.HasPrefix(key, "live/j/"):
+		return "job", &prodJob{}, false
+	case strings.HasPrefix(key, "over/"):
+		return "final", &prodFinal{}, false
+	case key == "live/c":
+		return "catalogue", &wire.Catalog{}, true
+	case key == "live/a":
+		return "adoptions", &struct{}{}, true
+	case strings.HasPrefix(key, "live/v/"):
+		return "form", nil, false
+	}
+	return "", nil, false
+}
+
+// meansTheSame checks what production read of a record.
+func meansTheSame(t *testing.T, w *World, what, key string, val []byte, read any) {
+	t.Helper()
+	switch v := read.(type) {
+	case *prodJob:
+		if u := w.byID[v.Spec.ID]; u == nil || key != "live/j/"+u.id || v.Spec.Tasks != max(1, u.job.Tasks) || v.At == 0 {
+			t.Errorf("%s read as %+v", what, v)
+		}
+	case *prodFinal:
+		if v.State != wire.Done && v.State != wire.Cancelled {
+			t.Errorf("%s read as %+v", what, v)
+		}
+	case *prodEntry:
+		back, err := json.Marshal(v)
+		if err != nil || !bytes.Equal(back, val) {
+			t.Errorf("%s: %s would be written back as %s", what, val, back)
+		}
+	}
+}
+
+// productionReadsMessage checks that a message of ours means the same to production.
+func productionReadsMessage(t *testing.T) {
+	t.Helper()
 	b, err := peer.Encode(&peer.Heartbeat{Node: "nodo-2", StoreOK: true, Idle: []peer.Idle{{Machine: "n-1"}}, Asks: []peer.Ask{{Machine: "n-2", Tier: 4}}, Form: core.Form})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/rehearsal/worker.go
+++ b/internal/rehearsal/worker.go
@@ -153,87 +153,120 @@
 	return r
 }
 
+// sending is a report on its way, and what becomes of its answer.
+type sending struct {
+	wk      *worker
+	node    *node
+	ask     int64
+	sent    int64
+	session uint64
+}
+
+// giveUpAfter is how long a worker waits for the answer to a report.
+const giveUpAfter = 4 * second
+
 func (wk *worker) send() {
 	w := wk.w
-	sent, session := w.now, wk.session
 	wk.asks++
-	ask := wk.asks
-	wk.asking, wk.lastAt = ask, w.now
+	s := &sending{wk: wk, node: w.nodes[wk.node], ask: wk.asks, sent: w.now, session: wk.session}
+	wk.asking, wk.lastAt = s.ask, w.now
 	every := int64(w.sc.ReportS * float64(second))
 	wk.nextAt = w.now + every*3/4 + w.rng.Int64N(every/2+1)
-	n := w.nodes[wk.node]
 	r := wk.report()
-	w.say("%s reports %d/%d to %s: %d tasks", wk.name, r.Session, r.Seq, n.name, len(r.Tasks))
-	finish := func(next int64, other int) {
-		if wk.asking == ask {
-			wk.asking = 0
-			wk.node = other
-			wk.nextAt = min(wk.nextAt, next)
-		}
-	}
-	w.after(4*second, func() { finish(w.now+second, (wk.node+1)%3) })
+	w.say("%s reports %d/%d to %s: %d tasks", wk.name, r.Session, r.Seq, s.node.name, len(r.Tasks))
+	w.after(giveUpAfter, func() { s.finish(w.now+second, (wk.node+1)%3) })
 	w.copyLate(r)
-	if w.sc.Copies > 0 && w.rng.Float64() < w.sc.Copies {
-		late := *r
-		w.after(second+w.rng.Int64N(int64(2*w.sc.LeaseS*float64(second))), func() {
-			if n := w.nodes[w.rng.IntN(3)]; n.up && !n.cut["workers"] && !n.cut["all"] {
-				w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: &late} }, func(core.Answer) {})
-			}
+	wk.copyLater(r)
+	if w.live != nil {
+		w.live.report(wk.node, r, s.answered)
+		return
+	}
+	if wk.mute {
+		w.happened("reports of mute machines")
+	}
+	if !s.node.up || wk.mute {
+		w.after(second/100, func() {
+			s.finish(w.now+second, (wk.node+1)%3)
+			wk.nextAt = max(wk.nextAt, w.now+second)
 		})
+		return
 	}
-	answered := func(a core.Answer) {
-		if wk.deaf {
-			w.happened("answers to deaf machines")
+	w.between(s.node, wk, func() {
+		if !s.node.up {
 			return
 		}
-		wk.awake(func() {
-			if wk.asking != ask || wk.session != session {
-				return // given up on, or of an earlier session
-			}
-			if o, ok := a.Body.(wire.Orders); ok && a.Status == 200 {
-				finish(wk.nextAt, wk.node)
-				if o.Token < wk.token {
-					return
-				}
-				wk.raise(o.Token)
-				wk.leased = sent
-				wk.obey(o.Commands)
-				return
-			}
-			other := (wk.node + 1) % 3
-			wait := second
-			if d, ok := a.Body.(wire.Redirect); ok && a.Status == 421 && d.To != "" && d.To != n.name {
-				for i, o := range w.nodes {
-					if o.name == d.To {
-						other, wait = i, w.rng.Int64N(second/2)
-					}
-				}
-			}
-			finish(w.now+wait, other)
-			wk.nextAt = w.now + wait
+		w.request(s.node, func(req uint64) any { return core.ReportIn{Req: req, Report: r} }, func(a core.Answer) {
+			w.between(s.node, wk, func() { s.answered(a) })
 		})
-	}
-	if w.live != nil {
-		w.live.report(wk.node, r, answered)
+	})
+}
+
+// copyLater has a copy of some reports arrive again, up to two leases later.
+func (wk *worker) copyLater(r *wire.Report) {
+	w := wk.w
+	if w.sc.Copies <= 0 || w.rng.Float64() >= w.sc.Copies {
 		return
 	}
-	if wk.mute {
-		w.happened("reports of mute machines")
+	late := *r
+	w.after(second+w.rng.Int64N(int64(2*w.sc.LeaseS*float64(second))), func() {
+		if n := w.nodes[w.rng.IntN(3)]; n.up && !n.cut["workers"] && !n.cut["all"] {
+			w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: &late} }, func(core.Answer) {})
+		}
+	})
+}
+
+// finish ends the wait for the answer: the next report goes to a node by a time.
+func (s *sending) finish(next int64, node int) {
+	wk := s.wk
+	if wk.asking == s.ask {
+		wk.asking = 0
+		wk.node = node
+		wk.nextAt = min(wk.nextAt, next)
 	}
-	if !n.up || wk.mute {
-		w.after(second/100, func() { finish(w.now+second, (wk.node+1)%3); wk.nextAt = max(wk.nextAt, w.now+second) })
+}
+
+// answered takes in an answer, unless the worker does not hear it.
+func (s *sending) answered(a core.Answer) {
+	wk := s.wk
+	if wk.deaf {
+		wk.w.happened("answers to deaf machines")
 		return
 	}
-	w.between(n, wk, func() {
-		if !n.up {
+	wk.awake(func() {
+		if wk.asking != s.ask || wk.session != s.session {
+			return // given up on, or of an earlier session
+		}
+		o, ok := a.Body.(wire.Orders)
+		if !ok || a.Status != 200 {
+			s.refused(a)
 			return
 		}
-		w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: r} }, func(a core.Answer) {
-			w.between(n, wk, func() { answered(a) })
-		})
+		s.finish(wk.nextAt, wk.node)
+		if o.Token < wk.token {
+			return
+		}
+		wk.raise(o.Token)
+		wk.leased = s.sent
+		wk.obey(o.Commands)
 	})
 }
 
+// refused has the worker turn to another node: the one that is named, or the next.
+func (s *sending) refused(a core.Answer) {
+	wk, w := s.wk, s.wk.w
+	other := (wk.node + 1) % 3
+	wait := second
+	if d, ok := a.Body.(wire.Redirect); ok && a.Status == 421 && d.To != "" && d.To != s.node.name {
+		for i, o := range w.nodes {
+			if o.name == d.To {
+				other, wait = i, w.rng.Int64N(second/2)
+			}
+		}
+	}
+	s.finish(w.now+wait, other)
+	wk.nextAt = w.now + wait
+}
+
 func (wk *worker) raise(token uint64) {
 	if token > wk.token {
 		wk.token = token
@@ -284,14 +317,7 @@
 		}
 	}
 	spec := truth.spec(0)
-	cpus, gpus := spec.CPUs, spec.GPUs
-	for _, o := range wk.tasks {
-		if o.state != wire.Exited {
-			os := wk.w.truth[o.job].spec(0)
-			cpus, gpus = cpus+os.CPUs, gpus+os.GPUs
-		}
-	}
-	if t.state != wire.Exited && (cpus > wk.typ.CPUs+1e-9 || gpus > wk.typ.GPUs+1e-9) {
+	if t.state != wire.Exited && !wk.hasRoom(spec) {
 		t.exit(wire.NoRoom)
 	}
 	if !ok {
@@ -308,29 +334,47 @@
 	}
 	t.later(fetch, func() {
 		wk.cached[spec.Image] = true
-		t.on = true
-		wk.w.check.started(wk, t)
-		switch {
-		case wk.w.results[t.id]:
-			t.exit(wire.Done)
-		case wk.sick || truth.Bad:
-			wk.w.happened("tasks that failed")
-			t.later(second, func() { t.exit(wire.Failed) })
-		case spec.Kind == wire.Gang:
-			t.state = wire.Waiting
-			wk.changed()
-			t.later(40*second, func() {
-				if t.state == wire.Waiting {
-					t.exit(wire.Alone)
-				}
-			})
-			wk.w.gather(t, truth)
-		default:
-			t.run(truth)
-		}
+		t.begin(truth)
 	})
 }
 
+// hasRoom tells whether a task fits beside those that are there.
+func (wk *worker) hasRoom(spec wire.Job) bool {
+	cpus, gpus := spec.CPUs, spec.GPUs
+	for _, o := range wk.tasks {
+		if o.state != wire.Exited {
+			other := wk.w.truth[o.job].spec(0)
+			cpus, gpus = cpus+other.CPUs, gpus+other.GPUs
+		}
+	}
+	return cpus <= wk.typ.CPUs+1e-9 && gpus <= wk.typ.GPUs+1e-9
+}
+
+// begin has a task run that has its image, or fail.
+func (t *wtask) begin(truth Job) {
+	wk := t.w
+	t.on = true
+	wk.w.check.started(wk, t)
+	switch {
+	case wk.w.results[t.id]:
+		t.exit(wire.Done)
+	case wk.sick || truth.Bad:
+		wk.w.happened("tasks that failed")
+		t.later(second, func() { t.exit(wire.Failed) })
+	case truth.spec(0).Kind == wire.Gang:
+		t.state = wire.Waiting
+		wk.changed()
+		t.later(40*second, func() {
+			if t.state == wire.Waiting {
+				t.exit(wire.Alone)
+			}
+		})
+		wk.w.gather(t, truth)
+	default:
+		t.run(truth)
+	}
+}
+
 // later does something unless the task has ended or moved on by then.
 func (t *wtask) later(d int64, do func()) {
 	epoch := t.epoch
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -97,10 +97,7 @@
 	}
 	dealt := 0
 	for dealt < left && j.perZone(m.Zone) > 0 && (pass == roomSoon || m.Free.Fits(j.Need)) {
-		at := m.freeAt(j.Need, d.Now)
-		if m.Lent && at < math.MaxInt64 {
-			at = max(at, m.ReadyAt)
-		}
+		at := m.roomAt(j.Need, d.Now)
 		if at > limit || at == math.MaxInt64 {
 			if pass == roomSoon {
 				m.freeing = at
@@ -120,6 +117,15 @@
 	return dealt
 }
 
+// roomAt is when a machine is expected to have room, and to be back if it is lent.
+func (m *Machine) roomAt(need Res, now int64) int64 {
+	at := m.freeAt(need, now)
+	if m.Lent && at < math.MaxInt64 {
+		at = max(at, m.ReadyAt)
+	}
+	return at
+}
+
 // rentBatch is how many machines are rented by one request.
 const rentBatch = 50
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -27,7 +28,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer ln.Close()
+		defer func() { _ = ln.Close() }()
 		return ln.Addr().String()
 	}
 	away := free() // nobody listens there any more
@@ -47,18 +48,26 @@
 	return s, set
 }
 
+// run runs a server until the test ends.
+func run(t *testing.T, s *Server) {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+}
+
 // TestMoreWorkersThanSockets guards against workers that keep all connections
 // for themselves: a worker's is closed once answered while the listener is
 // crowded, so every one of them is answered, and health checks as well.
 func TestMoreWorkersThanSockets(t *testing.T) {
 	s, set := alone(t)
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- s.Run(ctx) }()
-	defer func() {
-		stop()
-		<-ended
-	}()
+	run(t, s)
 	ask := func(request string) (net.Conn, *http.Response) {
 		conn, err := net.DialTimeout("tcp4", set.PublicAddr, 5*time.Second)
 		for tries := 0; err != nil && tries < 500; tries++ { // until it listens
@@ -67,7 +76,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
 		if _, err := io.WriteString(conn, request); err != nil {
 			t.Fatal(err)
 		}
@@ -86,17 +97,17 @@
 			t.Fatalf("worker %d is turned away: %d %s", i, resp.StatusCode, text)
 		}
 		if resp.Close {
-			conn.Close()
+			_ = conn.Close()
 			continue
 		}
 		kept++
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 	}
 	if kept < set.Sockets.Crowded/2 || kept > set.Sockets.Crowded+1 {
 		t.Errorf("%d connections of workers are kept, of %d that may be", kept, set.Sockets.Crowded)
 	}
 	conn, resp := ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	if resp.StatusCode != 503 || resp.Close {
 		t.Errorf("the health check is answered %d, closed %t", resp.StatusCode, resp.Close)
 	}
@@ -112,7 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer worker.Close()
+	defer func() { _ = worker.Close() }()
 	reached := make(chan struct{}, 2)
 	go func() {
 		for {
@@ -121,7 +132,7 @@
 				return
 			}
 			reached <- struct{}{}
-			conn.Close()
+			_ = conn.Close()
 		}
 	}()
 	for _, c := range []struct {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -17,8 +17,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	go fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, maxAnswer+1)) })
+	defer func() { _ = ln.Close() }()
+	go func() {
+		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(make([]byte, maxAnswer+1)) })
+	}()
 	set := &settings.Settings{}
 	set.Endpoints.State = ln.Addr().String()
 	set.Facts.State.RPS, set.Facts.State.WriteRPS, set.Facts.State.TxnOps = 100, 100, 10
