--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -14,7 +14,7 @@
 func slotKey(part, slot int) string { return fmt.Sprintf("%s%d/%04d", logKey, part, slot) }
 
 // parseSlot reads a log slot's key.
-func (c *Core) parseSlot(key string) (*part, int) {
+func (c *Core) parseSlot(key string) (*partition, int) {
 	a, b, ok := strings.Cut(key[len(logKey):], "/")
 	i, err := strconv.Atoi(a)
 	slot, err2 := strconv.Atoi(b)
@@ -33,12 +33,12 @@
 		c.adoptVer = max(c.adoptVer, ver)
 	case key == typesKey || strings.HasPrefix(key, typesKey+"/"):
 		err = c.applyCatalog(strings.TrimPrefix(key[len(typesKey):], "/"), value, ver)
-	case strings.HasPrefix(key, partKey):
-		err = c.applyPart(key[len(partKey):], value, ver)
+	case strings.HasPrefix(key, partitionKey):
+		err = c.applyPartition(key[len(partitionKey):], value, ver)
 	case strings.HasPrefix(key, jobKey):
 		err = c.applyJob(key[len(jobKey):], value, ver)
-	case strings.HasPrefix(key, formKey):
-		err = c.applyForm(key[len(formKey):], value)
+	case strings.HasPrefix(key, schemaKey):
+		err = c.applySchema(key[len(schemaKey):], value)
 	case strings.HasPrefix(key, logKey):
 		err = c.applySlot(key, value, ver)
 	}
@@ -56,23 +56,23 @@
 	return nil
 }
 
-func (c *Core) applyPart(name string, value []byte, ver uint64) error {
+func (c *Core) applyPartition(name string, value []byte, ver uint64) error {
 	i, err := strconv.Atoi(name)
 	if err != nil || i < 0 || i >= len(c.parts) || c.parts[i].ver >= ver {
 		return nil // not one of ours, or older than what is known
 	}
-	var rec partRecord
+	var rec partitionRecord
 	err = json.Unmarshal(value, &rec)
-	c.partChanged(c.parts[i], rec, ver) // one that can't be read names no holder
+	c.partitionChanged(c.parts[i], rec, ver) // one that can't be read names no holder
 	return err
 }
 
-func (c *Core) applyForm(node string, value []byte) error {
-	var rec formRecord
+func (c *Core) applySchema(node string, value []byte) error {
+	var rec schemaRecord
 	if err := json.Unmarshal(value, &rec); err != nil {
 		return err
 	}
-	c.noteForm(node, rec.Form)
+	c.noteSchema(node, rec.Form)
 	return nil
 }
 
@@ -98,11 +98,11 @@
 		c.link(j)
 	}
 	if j.cancelled && !was {
-		c.halt(j)
-		c.learn(id, withdrawn, 0)
+		c.stopJob(j)
+		c.settleNeed(id, outcomeWithdrawn, 0)
 	}
 	c.mark(j)
-	c.early(Second / 20)
+	c.planWithin(Second / 20)
 	return nil
 }
 
@@ -127,7 +127,7 @@
 
 // ownSlot takes in that a slot of our own log changed: the answer to its
 // transaction may be late or lost.
-func (c *Core) ownSlot(p *part, slot int, ver uint64) {
+func (c *Core) ownSlot(p *partition, slot int, ver uint64) {
 	if p.flush != nil && slot == p.flush.entries[0].slot && ver > p.flush.was {
 		c.flushed(p, ver)
 	}
@@ -139,7 +139,7 @@
 }
 
 // applyEntry takes in an entry of a log that another controller writes.
-func (c *Core) applyEntry(p *part, e entry) {
+func (c *Core) applyEntry(p *partition, e entry) {
 	c.logged(p, e)
 	for _, r := range e.rows {
 		c.applyRow(r, origin{r.Epoch, p.idx, e.seq}, e.ver)
@@ -154,8 +154,8 @@
 			if t.logged > e.seq {
 				continue
 			}
-			c.assign(j, n, standing{r.State, r.Attempt, r.Machine})
-			t.kept, t.logged = t.standing, e.seq
+			c.assign(j, n, taskRecord{r.State, r.Attempt, r.Machine})
+			t.kept, t.logged = t.taskRecord, e.seq
 		}
 	}
 }
@@ -173,7 +173,7 @@
 	if r.Dead {
 		c.tombs[r.Name] = from
 		if m != nil {
-			c.bury(m)
+			c.dropMachine(m)
 		}
 		return
 	}
@@ -198,7 +198,7 @@
 		// nothing that it says counts as a sign of life.
 		m.ready, m.pushAt = false, c.now
 	}
-	c.early(Second / 5)
+	c.planWithin(Second / 5)
 }
 
 // newMachine makes a machine of which the first record was read.
@@ -221,30 +221,30 @@
 	return m
 }
 
-// bury drops a machine whose record is deleted: all on it is proven gone.
-func (c *Core) bury(m *machine) {
+// dropMachine drops a machine whose record is deleted: all on it is proven gone.
+func (c *Core) dropMachine(m *machine) {
 	for _, id := range m.tasks() {
 		c.countMachine(c.jobs[id.job], id.n, m, -1)
 	}
 	delete(c.machines, m.name)
 	c.order = slices.DeleteFunc(c.order, func(o *machine) bool { return o == m })
-	c.buried(m.name)
-	c.orphans()
+	c.noteDeleted(m.name)
+	c.dropOrphans()
 }
 
 // drop takes in that a key was deleted.
 func (c *Core) drop(key string, ver uint64) {
 	switch {
-	case strings.HasPrefix(key, partKey):
-		i, err := strconv.Atoi(key[len(partKey):])
+	case strings.HasPrefix(key, partitionKey):
+		i, err := strconv.Atoi(key[len(partitionKey):])
 		if err == nil && i >= 0 && i < len(c.parts) && c.parts[i].ver < ver {
-			c.partChanged(c.parts[i], partRecord{}, 0)
+			c.partitionChanged(c.parts[i], partitionRecord{}, 0)
 		}
 	case strings.HasPrefix(key, jobKey):
 		if j := c.jobs[key[len(jobKey):]]; j != nil && j.ver < ver {
 			for _, n := range j.chunkList() {
 				for i := range j.chunks[n] {
-					c.assign(j, n*chunkSize+i, standing{})
+					c.assign(j, n*chunkSize+i, taskRecord{})
 				}
 			}
 			rec, sure := c.final(j)
@@ -253,9 +253,9 @@
 			c.unlink(j)
 			if sure {
 				c.finals.add(j.id, rec)
-				c.learn(j.id, rec.outcome(), rec.At)
+				c.settleNeed(j.id, rec.outcome(), rec.At)
 			} else {
-				c.learn(j.id, unsure, 0)
+				c.settleNeed(j.id, unsure, 0)
 			}
 		}
 	}
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -20,7 +20,7 @@
 	if !c.typesBusy && c.now >= c.typesAt {
 		c.readCatalog()
 	}
-	if !slices.ContainsFunc(c.parts, func(p *part) bool { return p.held }) {
+	if !slices.ContainsFunc(c.parts, func(p *partition) bool { return p.held }) {
 		return
 	}
 	if !c.listing && c.now >= c.listAt {
@@ -60,7 +60,7 @@
 func (c *Core) deleteMachines() {
 	var names []string
 	for _, m := range c.order {
-		if m.rec.Gone && c.ours(m) != nil && !m.busy() && !m.delSent && len(names) < deleteMost {
+		if m.rec.Gone && c.heldPartition(m) != nil && !m.busy() && !m.delSent && len(names) < deleteMost {
 			m.delSent = true
 			names = append(names, m.name)
 		}
@@ -190,7 +190,7 @@
 			// Listed before and absent from several lists: gone for good.
 			if l.round < c.listRound-2 && c.now > l.last+lag {
 				delete(c.listed, name)
-				if m := c.machines[name]; m != nil && c.ours(m) != nil && c.now > m.seenAt+lag {
+				if m := c.machines[name]; m != nil && c.heldPartition(m) != nil && c.now > m.seenAt+lag {
 					c.remove(m, "no longer listed")
 				}
 			}
@@ -210,7 +210,7 @@
 		if m.addr == "" {
 			m.addr = cm.Addr
 		}
-		if cm.State == wire.MachineFailed && c.ours(m) != nil {
+		if cm.State == wire.MachineFailed && c.heldPartition(m) != nil {
 			c.remove(m, "failed")
 		}
 		return
@@ -248,7 +248,7 @@
 	for _, p := range c.parts {
 		if p.held {
 			c.info("stray machine adopted", "machine", name, "type", typ, "how", how)
-			c.record(p, []machineRow{{Name: name, Type: typ, Zone: zone, Spot: spot, Home: p.idx, Cur: p.idx, At: c.now}}, true, func() {})
+			c.recordMachines(p, []machineRow{{Name: name, Type: typ, Zone: zone, Spot: spot, Home: p.idx, Cur: p.idx, At: c.now}}, true, func() {})
 			return
 		}
 	}
@@ -256,7 +256,7 @@
 
 // rent asks for machines. The name of the request is never used again: it
 // has this process's number in it.
-func (c *Core) rent(p *part, k sched.Kind, count int) {
+func (c *Core) rent(p *partition, k sched.Kind, count int) {
 	c.rentSeq++
 	req := &wire.Rent{Request: c.set.Node + "-" + strconv.FormatUint(c.inc, 36) + "-" + strconv.Itoa(c.rentSeq),
 		Type: k.Type, Zone: k.Zone, Spot: k.Spot, Count: min(count, 50)}
@@ -264,7 +264,7 @@
 	c.tryRent(p, k, req, 1)
 }
 
-func (p *part) renting(c *Core, k sched.Kind, n int) {
+func (p *partition) renting(c *Core, k sched.Kind, n int) {
 	if p.rents == nil {
 		p.rents = map[sched.Kind]int{}
 	}
@@ -274,14 +274,14 @@
 	}
 }
 
-func (c *Core) tryRent(p *part, k sched.Kind, req *wire.Rent, try int) {
+func (c *Core) tryRent(p *partition, k sched.Kind, req *wire.Rent, try int) {
 	c.callCloud(CloudCall{Op: OpRent, Rent: req}, func(r *CloudReply) {
 		if r.Status == 200 {
 			c.info("machines rented", "part", p.idx, "kind", kindName(k).String(), "asked", req.Count, "got", len(r.Names))
 			if len(r.Names) < req.Count {
 				c.refused[k] = c.now + secs(c.set.Ops.RefusalS)
 				p.renting(c, k, len(r.Names)-req.Count)
-				c.early(Second / 5)
+				c.planWithin(Second / 5)
 			}
 			// As many at a time as leave room in an entry of the log.
 			for names := range slices.Chunk(r.Names, max(1, c.maxValue()/3/rowBytes)) {
@@ -289,7 +289,7 @@
 				for _, name := range names {
 					rows = append(rows, machineRow{Name: name, Type: k.Type, Zone: k.Zone, Spot: k.Spot, Home: p.idx, Cur: p.idx, At: c.now})
 				}
-				c.record(p, rows, false, func() { p.renting(c, k, -len(names)) })
+				c.recordMachines(p, rows, false, func() { p.renting(c, k, -len(names)) })
 			}
 			return
 		}
@@ -300,7 +300,7 @@
 			return
 		}
 		p.renting(c, k, -req.Count)
-		c.early(Second)
+		c.planWithin(Second)
 		if r.Status == 429 {
 			return // our budget, not the cloud's room
 		}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -20,7 +20,7 @@
 }
 
 // logged notes an entry in the place of what its slot held before.
-func (c *Core) logged(p *part, e entry) {
+func (c *Core) logged(p *partition, e entry) {
 	for _, r := range e.rows {
 		c.rows[r.Name]++
 	}
@@ -45,7 +45,7 @@
 // its first entry goes to, which never comes back: of several copies at most
 // one is ever carried out.
 type flush struct {
-	*txn
+	*transaction
 	was     uint64 // version of its first slot before
 	entries []entry
 	size    int // of the last entry
@@ -60,7 +60,7 @@
 	j   *job
 	n   int
 	gen uint32
-	s   standing
+	s   taskRecord
 	seq uint64
 }
 
@@ -125,8 +125,8 @@
 			c.writes.level -= float64(len(f.req.Then))
 			c.writes.sum += float64(len(f.req.Then))
 			p.flush, p.flushed = f, c.now
-			c.txns = append(c.txns, f.txn)
-			c.sendTxn(f.txn)
+			c.txns = append(c.txns, f.transaction)
+			c.sendTxn(f.transaction)
 			c.turn++
 		}
 	}
@@ -135,8 +135,8 @@
 // build gathers a part's flush in at most so many writes: finals first, for
 // their users wait, then machines, then tasks, of which a flush may hold
 // thousands.
-func (c *Core) build(p *part, most int) *flush {
-	f := &flush{txn: &txn{}}
+func (c *Core) build(p *partition, most int) *flush {
+	f := &flush{transaction: &transaction{}}
 	most = max(minWrites, most>>p.tight)
 	conds := 4 * c.set.Facts.State.TxnOps
 	guard := func(key string, ver uint64) { f.req.If = append(f.req.If, wire.Guard{Key: key, Version: ver}) }
@@ -158,7 +158,7 @@
 	limit := min(maxTxnBytes/2, c.maxValue()-entryBytes) >> p.tight
 	b := &builder{c: c, p: p, f: f, guard: guard, conds: conds, limit: limit, seen: map[*task]bool{}}
 	b.most = min(most-len(f.req.Then), maxTxnBytes/b.limit)
-	if b.open() {
+	if b.openEntry() {
 		b.fresh()
 		b.ops()
 		b.tasks(ids)
@@ -180,7 +180,7 @@
 
 // endsDue lists the jobs among these whose final states are to be committed, in the
 // order in which they are. What has nothing to commit is not looked at again.
-func (c *Core) endsDue(p *part, ids []string) []*job {
+func (c *Core) endsDue(p *partition, ids []string) []*job {
 	var ends []*job
 	for _, id := range ids {
 		j := c.jobs[id]
@@ -240,7 +240,7 @@
 }
 
 // flushed takes in that a part's flush was carried out.
-func (c *Core) flushed(p *part, rev uint64) {
+func (c *Core) flushed(p *partition, rev uint64) {
 	f := p.flush
 	if f == nil {
 		return
@@ -299,11 +299,11 @@
 }
 
 // jobFlushed takes in that a job's final state is committed.
-func (c *Core) jobFlushed(p *part, j *job, rec finalRecord) {
+func (c *Core) jobFlushed(p *partition, j *job, rec finalRecord) {
 	j.over = true
 	delete(p.dirty, j.id)
 	c.finals.add(j.id, rec)
-	c.learn(j.id, rec.outcome(), rec.At)
+	c.settleNeed(j.id, rec.outcome(), rec.At)
 	c.info("job over", "job", j.id, "team", j.spec.Team, "class", j.spec.Class, "state", rec.State,
 		"after_s", (c.now-j.at)/Second, "deadline_s", j.spec.DeadlineS)
 }
@@ -311,7 +311,7 @@
 // unflushed takes in that a part's flush was refused for good: a job was
 // cancelled meanwhile, say. The mirror is newer than the refusal, so the next
 // flush says the same in the light of it. Strays can wait.
-func (c *Core) unflushed(p *part) {
+func (c *Core) unflushed(p *partition) {
 	p.fresh = slices.DeleteFunc(p.fresh, func(n *newMachines) bool {
 		if n.adopt {
 			n.then()
@@ -325,8 +325,8 @@
 	p.flush = nil
 }
 
-// ask wants a machine's record changed.
-func (c *Core) ask(m *machine, op machineOp) {
+// changeRecord wants a machine's record changed.
+func (c *Core) changeRecord(m *machine, op machineOp) {
 	m.op = op
 	p := c.parts[m.rec.Cur]
 	p.ops = append(p.ops, m)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -171,15 +171,15 @@
 	synced   bool
 	rev      uint64
 	knownAt  int64 // the mirror shows all that was committed before then
-	parts    []*part
+	parts    []*partition
 	machines map[string]*machine
 	order    []*machine        // by name
 	tombs    map[string]origin // machines deleted, while some log still names them
 	rows     map[string]int    // how many entries of all logs name a machine
 	adoptVer uint64
 	jobs     map[string]*job
-	needs    map[string]*need
-	unsure   []string // of the needs those whose final records are to be read
+	needs    map[string]*dependency
+	outcomeUnknown   []string // of the needs those whose final records are to be read
 	unsureAt int64    // not before
 	asking   int      // final records being read for needs
 	urgent   map[string]urgency
@@ -206,7 +206,7 @@
 	renewing bool
 
 	usage   map[string]*sched.Res
-	txns    []*txn
+	txns    []*transaction
 	writes  budget
 	turn    int // of the parts to flush first
 	accepts int
@@ -243,7 +243,7 @@
 	formed      bool // all read ours; said so
 	heartbeatAt int64
 	asks        []peer.Ask
-	tolds       []told
+	tolds       []cancellationNotice
 	stepBack    int64 // takes no part before this
 	unreached   int64
 	heardAt     int64 // any worker, of whatever part
@@ -259,13 +259,13 @@
 	c := &Core{
 		set: set, rng: rng, inc: inc,
 		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
-		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*need{}, forms: map[string]int{}, pages: map[string]catalogPage{}, tombs: map[string]origin{}, rows: map[string]int{},
+		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*dependency{}, forms: map[string]int{}, pages: map[string]catalogPage{}, tombs: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
 		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{},
 		typeOf: map[string]*wire.MachineType{}, heartbeats: map[string]*heard{}, why: map[string]string{},
 	}
 	for i := range set.Ops.Parts {
-		c.parts = append(c.parts, &part{idx: i, dirty: map[string]bool{}})
+		c.parts = append(c.parts, &partition{idx: i, dirty: map[string]bool{}})
 	}
 	for _, t := range set.Facts.Teams {
 		c.usage[t.Name] = &sched.Res{}
@@ -294,7 +294,7 @@
 	case ReportIn:
 		c.report(v)
 	case Pushed:
-		c.pushed(v)
+		c.commandsAnswered(v)
 	case *StoreReply:
 		c.storeReply(v)
 	case *CloudReply:
@@ -311,7 +311,7 @@
 
 // housekeep does what time and the last input made due.
 func (c *Core) housekeep() {
-	c.keepMirror()
+	c.keepReplica()
 	c.keepLease()
 	c.keepNeeds()
 	c.flushes()
@@ -320,15 +320,15 @@
 	}
 	c.tickAt = c.now + Second/10
 	c.watchCondition()
-	c.keepForm()
-	c.keepParts()
+	c.keepSchema()
+	c.keepPartitions()
 	c.keepMachines()
 	c.probe()
 	c.keepCloud()
 	c.cycle()
 	c.flushes()
 	c.sendHeartbeat()
-	c.summary()
+	c.logSummary()
 }
 
 func (c *Core) emit(e any) { c.out = append(c.out, e) }
--- a/internal/core/entries.go
+++ b/internal/core/entries.go
@@ -9,7 +9,7 @@
 // builder fills the log entries of a flush.
 type builder struct {
 	c     *Core
-	p     *part
+	p     *partition
 	f     *flush
 	guard func(key string, ver uint64)
 	conds int
@@ -20,13 +20,13 @@
 	seen  map[*task]bool
 }
 
-// open begins an entry: in the oldest one's slot, with the rows and runs that
+// openEntry begins an entry: in the oldest one's slot, with the rows and runs that
 // only that still holds written anew in it first; or in a new slot, while the
 // log is short or so full that what is written anew leaves little room. Where
 // the oldest holds more than an entry may have now, for it was written when more
 // was admitted, or its runs were broken up, part of that goes into a new slot:
 // some flushes later the rest fits, and the log never stands still.
-func (b *builder) open() bool {
+func (b *builder) openEntry() bool {
 	k := len(b.f.entries)
 	if k >= b.most {
 		return false
@@ -82,7 +82,7 @@
 // room has room for so many bytes, in a new entry if need be.
 func (b *builder) room(n int) bool {
 	for b.f.size+n > b.limit {
-		if b.f.size == 0 || !b.open() {
+		if b.f.size == 0 || !b.openEntry() {
 			return false
 		}
 	}
@@ -147,7 +147,7 @@
 
 // joins tells whether a task makes a run one longer.
 func (s sentTask) joins(r run) bool {
-	return r.Job == s.j.id && r.From+r.count() == s.n && (standing{r.State, r.Attempt, r.Machine}) == s.s
+	return r.Job == s.j.id && r.From+r.count() == s.n && (taskRecord{r.State, r.Attempt, r.Machine}) == s.s
 }
 
 // sizeOf is how many bytes a task takes at the most.
@@ -232,13 +232,13 @@
 	for _, m := range left {
 		r := m.rec
 		switch m.op {
-		case opGone:
+		case opDelete:
 			r.Gone = true
-		case opForget:
+		case opDropRecord:
 			r = machineRow{Name: r.Name, Cur: r.Cur, Dead: true, Epoch: r.Epoch + 1}
-		case opToken:
+		case opRaiseToken:
 			r.Token = 0
-		case opMove:
+		case opLend:
 			r.Cur, r.Token = m.opTo, 0
 			r.Epoch++
 		}
@@ -272,7 +272,7 @@
 					guarded = true
 					b.guard(jobKey+id, j.ver)
 				}
-				s := sentTask{j, k*chunkSize + i, t.gen, t.standing, 0}
+				s := sentTask{j, k*chunkSize + i, t.gen, t.taskRecord, 0}
 				if !b.room(b.sizeOf(s)) {
 					return
 				}
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -33,7 +33,7 @@
 	case j.open > 0:
 		e.Why = "waits for other jobs to be done"
 		for _, id := range j.needs {
-			if c.needs[id].outcome != ended && len(e.WaitsFor) < maxNamed {
+			if c.needs[id].outcome != outcomeDone && len(e.WaitsFor) < maxNamed {
 				e.WaitsFor = append(e.WaitsFor, id)
 			}
 		}
--- a/internal/core/faults.go
+++ b/internal/core/faults.go
@@ -48,7 +48,7 @@
 
 // taskFailed takes in that a task failed on a machine.
 func (c *Core) taskFailed(j *job, m *machine, task string) {
-	if j.halted() {
+	if j.mustNotRun() {
 		return
 	}
 	j.avoid[m.name], j.failedAt = true, c.now
@@ -74,7 +74,7 @@
 		switch {
 		case j == nil:
 			delete(m.failures.unexplained, id) // it is over, and nothing of it was done
-		case j.suspect || j.halted():
+		case j.suspect || j.mustNotRun():
 		case len(j.avoid) == 1 && j.avoid[m.name]:
 			own++
 		default:
@@ -141,6 +141,6 @@
 	return placeMost
 }
 
-// outOfTurn tells whether a job that fails wherever it runs must let all others
+// deprioritized tells whether a job that fails wherever it runs must let all others
 // go first. After two minutes it is tried once in its own turn.
-func (c *Core) outOfTurn(j *job) bool { return j.suspect && c.now < j.failedAt+120*Second }
+func (c *Core) deprioritized(j *job) bool { return j.suspect && c.now < j.failedAt+120*Second }
--- a/internal/core/form.go
+++ b/internal/core/form.go
@@ -2,31 +2,31 @@
 
 import "spurmoor/internal/wire"
 
-// Form is what this version reads and writes in the state service. 0 is that
+// SchemaVersion is what this version reads and writes in the state service. 0 is that
 // of the first versions, which drop what a job needs when they accept it; 1
 // knows jobs that wait for jobs. Nothing of a later form is written before
 // every controller is known to read it.
-const Form = 1
+const SchemaVersion = 1
 
 // Version is the release, as the log and the state service name it.
 const Version = "2.0"
 
-// formRecord says what a controller's versions read. A controller goes from
+// schemaRecord says what a controller's versions read. A controller goes from
 // one version to a later one only, so what was written once holds on.
-type formRecord struct {
+type schemaRecord struct {
 	Form    int    `json:"f"`
 	Version string `json:"v,omitzero"`
 }
 
-func (c *Core) noteForm(node string, form int) { c.forms[node] = max(c.forms[node], form) }
+func (c *Core) noteSchema(node string, form int) { c.forms[node] = max(c.forms[node], form) }
 
 // reads tells whether a controller reads our form. One that says that it does
 // not, now, is believed: it was put back.
 func (c *Core) reads(node string) bool {
-	if h := c.heartbeats[node]; h != nil && h.form < Form && c.now < h.at+5*Second {
+	if h := c.heartbeats[node]; h != nil && h.form < SchemaVersion && c.now < h.at+5*Second {
 		return false
 	}
-	return node == c.set.Node || c.forms[node] >= Form
+	return node == c.set.Node || c.forms[node] >= SchemaVersion
 }
 
 // allRead tells whether all controllers read our form.
@@ -39,25 +39,25 @@
 	return true
 }
 
-// keepForm keeps in the state service that this controller reads its form: one
+// keepSchema keeps in the state service that this controller reads its form: one
 // that starts while another is away could else not know it of that one.
-func (c *Core) keepForm() {
+func (c *Core) keepSchema() {
 	if !c.synced {
 		return
 	}
 	if all := c.allRead(); all != c.formed {
 		c.formed = all
-		c.info("all controllers have this version's form", "form", Form, "all", all)
+		c.info("all controllers have this version's form", "form", SchemaVersion, "all", all)
 	}
-	if c.forms[c.set.Node] >= Form || c.now < c.formAt {
+	if c.forms[c.set.Node] >= SchemaVersion || c.now < c.formAt {
 		return
 	}
 	c.formAt = c.now + 5*Second
-	key, rec := formKey+c.set.Node, mustJSON(formRecord{Form, Version})
+	key, rec := schemaKey+c.set.Node, mustJSON(schemaRecord{SchemaVersion, Version})
 	c.spend(1)
 	c.callStore(StoreCall{Op: OpTxn, Txn: &wire.Txn{If: []wire.Guard{{Key: key}}, Then: []wire.Write{{Put: key, Value: rec}}}}, func(r *StoreReply) {
 		if r.Status == 200 {
-			c.noteForm(c.set.Node, Form)
+			c.noteSchema(c.set.Node, SchemaVersion)
 		}
 	})
 }
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -26,11 +26,11 @@
 		w.rate = (w.rate + (w.sum-w.told)*float64(Second)/float64(c.now-w.toldAt)) / 2
 		w.told, w.toldAt = w.sum, c.now
 	}
-	c.emit(Tell{&peer.Heartbeat{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.tellable(), Form: Form}})
+	c.emit(Tell{&peer.Heartbeat{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.pendingNotices(), Form: SchemaVersion}})
 }
 
-// told is a cancellation that we confirmed to its user.
-type told struct {
+// cancellationNotice is a cancellation that we confirmed to its user.
+type cancellationNotice struct {
 	id string
 	at int64
 }
@@ -43,15 +43,15 @@
 	maxTold = 400
 )
 
-func (c *Core) tellCancelled(id string) {
+func (c *Core) notifyCancelled(id string) {
 	if len(c.tolds) < maxTold {
-		c.tolds = append(c.tolds, told{id, c.now})
+		c.tolds = append(c.tolds, cancellationNotice{id, c.now})
 	}
 	c.heartbeatAt = min(c.heartbeatAt, c.now)
 }
 
-func (c *Core) tellable() []string {
-	c.tolds = slices.DeleteFunc(c.tolds, func(t told) bool { return c.now > t.at+tellFor })
+func (c *Core) pendingNotices() []string {
+	c.tolds = slices.DeleteFunc(c.tolds, func(t cancellationNotice) bool { return c.now > t.at+tellFor })
 	var ids []string
 	for _, t := range c.tolds {
 		ids = append(ids, t.id)
@@ -69,18 +69,18 @@
 		c.heartbeats[h.Node] = was
 	}
 	was.at, was.storeOK, was.idle, was.form, was.writes = c.now, h.StoreOK, map[string]bool{}, h.Form, h.Writes
-	c.noteForm(h.Node, h.Form)
+	c.noteSchema(h.Node, h.Form)
 	for _, i := range h.Idle {
 		was.idle[i.Machine] = true
 	}
 	for _, id := range h.Cancelled {
-		if j := c.jobs[id]; j != nil && !j.over && !j.halted() {
+		if j := c.jobs[id]; j != nil && !j.over && !j.mustNotRun() {
 			c.info("cancelled, says another controller", "job", id, "by", h.Node)
 			j.told = true
-			c.halt(j)
+			c.stopJob(j)
 		}
 	}
 	if c.synced {
-		c.heed(h.Asks)
+		c.handleAsks(h.Asks)
 	}
 }
--- a/internal/core/isolation.go
+++ b/internal/core/isolation.go
@@ -33,7 +33,7 @@
 	c.unreached, c.stepBack, c.cutOff = 0, c.now+20*Second, true
 	for _, p := range c.parts {
 		if p.held {
-			c.release(p, "no worker reaches this controller")
+			c.resignPartition(p, "no worker reaches this controller")
 		}
 	}
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -20,16 +20,16 @@
 	done
 )
 
-// standing is what the log keeps of a task.
-type standing struct {
+// taskRecord is what the log keeps of a task.
+type taskRecord struct {
 	state   uint8
 	attempt uint64
 	machine string
 }
 
 type task struct {
-	standing
-	kept    standing // as committed
+	taskRecord
+	kept    taskRecord // as committed
 	changed bool     // differs from what was committed, or is being committed
 	gen     uint32   // counts changes
 	logged  uint64   // the log entry that last held it; 0: none
@@ -100,8 +100,8 @@
 	return taskID{id, n}, ok && err == nil && n >= 0
 }
 
-// halt has a job's machines told at once that it must not run any more.
-func (c *Core) halt(j *job) {
+// stopJob has a job's machines told at once that it must not run any more.
+func (c *Core) stopJob(j *job) {
 	if j.haltedAt == 0 {
 		j.haltedAt = c.knownAt
 	}
@@ -156,7 +156,7 @@
 }
 
 // change changes a task, to be committed.
-func (c *Core) change(j *job, n int, s standing) {
+func (c *Core) change(j *job, n int, s taskRecord) {
 	t := j.touch(n)
 	if m := c.machines[t.machine]; m != nil && m.name != s.machine {
 		m.left[j.id] = true
@@ -189,14 +189,14 @@
 }
 
 // assign changes a task and every count that depends on it.
-func (c *Core) assign(j *job, n int, s standing) {
+func (c *Core) assign(j *job, n int, s taskRecord) {
 	t := j.touch(n)
 	if t.changed {
 		t.changed = false
 		j.nChanged--
 	}
 	c.count(j, n, t, -1)
-	*t = task{standing: s, kept: t.kept, gen: t.gen, logged: t.logged, placedAt: c.now, holdOff: t.holdOff}
+	*t = task{taskRecord: s, kept: t.kept, gen: t.gen, logged: t.logged, placedAt: c.now, holdOff: t.holdOff}
 	c.count(j, n, t, 1)
 	if j.nPlaced == 0 {
 		j.spoiled = false
--- a/internal/core/lending.go
+++ b/internal/core/lending.go
@@ -11,7 +11,7 @@
 // A machine has one holder, so room beside another part's tasks is no use to us: in
 // a small, full cluster a team under its limit waited for two minutes beside it.
 // It is asked for to be given when its tasks have ended; one at a time.
-func (c *Core) spare(p *part, jobs map[string]*job, why map[string]string) *machine {
+func (c *Core) spare(p *partition, jobs map[string]*job, why map[string]string) *machine {
 	first := c.oldestUnrentable(jobs, why)
 	if first == nil {
 		p.spare = ""
@@ -26,7 +26,7 @@
 		if !c.sparable(m, p, first) {
 			continue
 		}
-		sm := c.shownMachine(m)
+		sm := c.machineView(m)
 		if !sm.Free.Fits(first.need) {
 			continue
 		}
@@ -54,7 +54,7 @@
 	for _, id := range sorted(jobs) {
 		j := jobs[id]
 		single := j.spec.Kind == wire.Array || j.spec.Tasks == 1
-		if why[id] != sched.NothingToRent || !single || j.begun() || c.outOfTurn(j) {
+		if why[id] != sched.NothingToRent || !single || j.begun() || c.deprioritized(j) {
 			continue
 		}
 		if c.now > j.from()+secs(c.set.Ops.BeginWithinS/6) && (first == nil || j.at < first.at) {
@@ -65,8 +65,8 @@
 }
 
 // sparable tells whether a machine of another part may be asked for, for a job.
-func (c *Core) sparable(m *machine, p *part, j *job) bool {
-	if m.rec.Cur == p.idx || m.typ == nil || m.rec.Gone || m.claim != "" || j.avoid[m.name] || c.promisedTo(m) >= 0 {
+func (c *Core) sparable(m *machine, p *partition, j *job) bool {
+	if m.rec.Cur == p.idx || m.typ == nil || m.rec.Gone || m.claim != "" || j.avoid[m.name] || c.reservedFor(m) >= 0 {
 		return false
 	}
 	return sched.Allowed(&j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot)
@@ -87,14 +87,14 @@
 }
 
 func (c *Core) lendable(m *machine) bool {
-	return c.ours(m) != nil && m.ready && c.promisedTo(m) < 0 && c.emptied(m) && m.allEnded() && !m.busy() && !m.rec.Gone && !m.faulty &&
+	return c.heldPartition(m) != nil && m.ready && c.reservedFor(m) < 0 && c.emptied(m) && m.allEnded() && !m.busy() && !m.rec.Gone && !m.faulty &&
 		m.notice == 0 && !c.claimed(m) && m.deaf == 0 && c.now < m.seenAt+c.lately()
 }
 
 // idleAbroad tells whether a machine of another part may be borrowed.
 func (c *Core) idleAbroad(name string) bool {
 	m := c.machines[name]
-	if c.ours(m) != nil {
+	if c.heldPartition(m) != nil {
 		return c.lendable(m) && c.now > m.idleAt+Second/3
 	}
 	for _, h := range c.heartbeats {
@@ -133,11 +133,11 @@
 	return true
 }
 
-// heed moves the machines that others ask for, where we hold them.
-func (c *Core) heed(asks []peer.Ask) {
+// handleAsks moves the machines that others ask for, where we hold them.
+func (c *Core) handleAsks(asks []peer.Ask) {
 	for _, a := range asks {
 		m := c.machines[a.Machine]
-		if m == nil || c.ours(m) == nil || m.rec.Cur == a.Part || a.Part < 0 || a.Part >= len(c.parts) {
+		if m == nil || c.heldPartition(m) == nil || m.rec.Cur == a.Part || a.Part < 0 || a.Part >= len(c.parts) {
 			continue
 		}
 		if c.lendable(m) {
@@ -153,7 +153,7 @@
 	if m.moveTo >= 0 || !m.ready || m.rec.Gone || m.faulty || m.notice > 0 {
 		return false
 	}
-	return c.promisedTo(m) < 0 && !c.claimed(m)
+	return c.reservedFor(m) < 0 && !c.claimed(m)
 }
 
 // yield sets a machine with tasks aside for another part, if that is permitted.
@@ -178,5 +178,5 @@
 	}
 	c.info("machine lent", "machine", m.name, "from", m.rec.Cur, "to", to, "home", m.rec.Home)
 	m.opTo = to
-	c.ask(m, opMove)
+	c.changeRecord(m, opLend)
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -72,11 +72,11 @@
 
 const (
 	opNone   machineOp = iota
-	opGone             // never to be used again, to be deleted
-	opForget           // its record goes
-	opMove             // to another part
-	opToken            // its token rises
-	opCopy             // into our log, from that of the part that it came from
+	opDelete             // never to be used again, to be deleted
+	opDropRecord           // its record goes
+	opLend             // to another part
+	opRaiseToken            // its token rises
+	opCopyRecord             // into our log, from that of the part that it came from
 )
 
 func (m *machine) busy() bool { return m.op != opNone }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -12,18 +12,18 @@
 // take-over and the record's floor. Revisions only rise.
 func (c *Core) tokenOf(m *machine) uint64 { return max(c.parts[m.rec.Cur].ver, m.rec.Token) }
 
-// ours gives a machine's part if we hold it.
-func (c *Core) ours(m *machine) *part {
+// heldPartition gives a machine's part if we hold it.
+func (c *Core) heldPartition(m *machine) *partition {
 	if m.rec.Cur < 0 || m.rec.Cur >= len(c.parts) || !c.parts[m.rec.Cur].held {
 		return nil
 	}
 	return c.parts[m.rec.Cur]
 }
 
-// mute tells whether a machine answers direct commands while its reports have
+// reportsMissing tells whether a machine answers direct commands while its reports have
 // long failed to come: its lease will run out. Two controllers that are cut off
 // may hold a report up for five seconds each.
-func (c *Core) mute(m *machine) bool {
+func (c *Core) reportsMissing(m *machine) bool {
 	return m.reportAt > 0 && c.now > m.reportAt+c.lately()+10*Second
 }
 
@@ -57,7 +57,7 @@
 	silent, up := 0, 0
 	silence := c.silence()
 	for _, m := range c.order {
-		p := c.ours(m)
+		p := c.heldPartition(m)
 		if p == nil {
 			continue
 		}
@@ -77,7 +77,7 @@
 		return // another controller may hold our parts by now
 	}
 	for _, m := range c.order {
-		if c.ours(m) != nil {
+		if c.heldPartition(m) != nil {
 			c.keepMachine(m, cut)
 		}
 	}
@@ -93,8 +93,8 @@
 		return
 	}
 	late := m.upAt > 0 && c.now > m.seenAt+c.reportDue()
-	if cmds := c.direct(m); !m.ready || late || cmds != nil {
-		c.push(m, cmds)
+	if cmds := c.directCommands(m); !m.ready || late || cmds != nil {
+		c.sendCommands(m, cmds)
 	}
 }
 
@@ -112,14 +112,14 @@
 func (c *Core) keepMachine(m *machine, cut bool) {
 	if c.now > m.deadAt && len(m.on) > 0 {
 		c.info("machine's lease ran out", "machine", m.name, "tasks", len(m.on))
-		c.clear(m, "its lease ran out")
+		c.clearMachine(m, "its lease ran out")
 	}
 	if m.rec.Gone {
 		c.keepDeleted(m)
 		return
 	}
 	c.keepRecord(m)
-	if why := c.worthless(m, cut); why != "" {
+	if why := c.removalReason(m, cut); why != "" {
 		c.remove(m, why)
 	} else {
 		c.keepUse(m)
@@ -132,26 +132,26 @@
 	if !m.delOK || m.busy() {
 		return
 	}
-	c.clear(m, "deleted")
+	c.clearMachine(m, "deleted")
 	if c.emptied(m) {
-		c.ask(m, opForget)
+		c.changeRecord(m, opDropRecord)
 	}
 }
 
 // keepRecord has a machine's record copied into our log, or its token raised.
 func (c *Core) keepRecord(m *machine) {
 	if m.from.part != m.rec.Cur && !m.busy() {
-		c.ask(m, opCopy)
+		c.changeRecord(m, opCopyRecord)
 	}
 	if m.doubt && !m.busy() {
 		m.doubt = false
-		c.ask(m, opToken)
+		c.changeRecord(m, opRaiseToken)
 	}
 }
 
-// worthless says why a machine is returned for what it does not do; "" if it is
+// removalReason says why a machine is returned for what it does not do; "" if it is
 // not.
-func (c *Core) worthless(m *machine, cut bool) string {
+func (c *Core) removalReason(m *machine, cut bool) string {
 	boot := unknownBootS
 	if m.typ != nil {
 		boot = m.typ.BootS
@@ -182,8 +182,8 @@
 	switch {
 	case m.notice > 0 || m.faulty:
 		c.drain(m)
-	case c.promisedTo(m) >= 0 && m.moveTo < 0:
-		c.keepPromise(m)
+	case c.reservedFor(m) >= 0 && m.moveTo < 0:
+		c.keepReservation(m)
 	case m.moveTo >= 0:
 		c.keepMove(m)
 	case m.ready && len(m.on) == 0 && m.claim == "" && c.now > m.idleAt+secs(c.set.Ops.IdleReturnS) && c.now > m.bornAt+minAge:
@@ -229,11 +229,11 @@
 	}
 }
 
-// clear takes in that all on a machine is gone.
-func (c *Core) clear(m *machine, why string) {
+// clearMachine takes in that all on a machine is gone.
+func (c *Core) clearMachine(m *machine, why string) {
 	for _, id := range m.tasks() {
 		if j := c.jobs[id.job]; j != nil && c.parts[j.part].held {
-			c.gone(j, id.n, why)
+			c.taskGone(j, id.n, why)
 		}
 	}
 }
@@ -245,7 +245,7 @@
 		return
 	}
 	c.info("machine returned", "machine", m.name, "type", m.rec.Type, "why", why, "tasks", len(m.on), "age_s", (c.now-m.bornAt)/Second)
-	c.ask(m, opGone)
+	c.changeRecord(m, opDelete)
 }
 
 // emptied tells whether a machine has no tasks and that is committed. A
@@ -265,9 +265,9 @@
 	return len(m.left) == 0
 }
 
-// buried remembers a machine whose record was deleted, so that lagging lists
+// noteDeleted remembers a machine whose record was deleted, so that lagging lists
 // do not bring it back.
-func (c *Core) buried(name string) {
+func (c *Core) noteDeleted(name string) {
 	if len(c.graves) > 2000 {
 		for n, at := range c.graves {
 			if c.now > at+120*Second {
@@ -278,8 +278,8 @@
 	c.graves[name] = c.now
 }
 
-// record has machines recorded that were rented or have strayed in.
-func (c *Core) record(p *part, rows []machineRow, adopt bool, then func()) {
+// recordMachines has machines recorded that were rented or have strayed in.
+func (c *Core) recordMachines(p *partition, rows []machineRow, adopt bool, then func()) {
 	p.fresh = append(p.fresh, &newMachines{rows: rows, adopt: adopt, then: then})
 }
 
--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -11,7 +11,7 @@
 
 // holder is a controller that holds a part with one machine, on which one task
 // of a job is placed and committed.
-func holder(t *testing.T) (*Core, *part, *machine, *job) {
+func holder(t *testing.T) (*Core, *partition, *machine, *job) {
 	t.Helper()
 	c, _, _ := watched(t)
 	w := &c.set.Facts.Workers
@@ -19,11 +19,11 @@
 	c.now = 100 * Second
 	c.lease, c.leasedAt, c.knownAt = 7, c.now, c.now
 	p := c.parts[0]
-	c.apply(p.key(), mustJSON(partRecord{Node: c.set.Node, Inc: c.inc}), 10)
+	c.apply(p.key(), mustJSON(partitionRecord{Node: c.set.Node, Inc: c.inc}), 10)
 	c.applyRow(machineRow{Name: "n-1", Type: "g4", Zone: "alta", Cur: 0, Epoch: 1, Token: 11}, origin{1, 0, 1}, 11)
 	m, j := c.machines["n-1"], c.jobs["wk-000001"]
-	c.assign(j, 0, standing{placed, 1, "n-1"})
-	j.task(0).kept = j.task(0).standing
+	c.assign(j, 0, taskRecord{placed, 1, "n-1"})
+	j.task(0).kept = j.task(0).taskRecord
 	if !p.held || m == nil || len(m.on) != 1 {
 		t.Fatalf("held %t, machine %v", p.held, m)
 	}
@@ -76,7 +76,7 @@
 	if a := reports(c, 2, 11); a.Status != 200 {
 		t.Fatalf("within the horizon the answer is %+v", a)
 	}
-	c.now += c.horizon() + 1
+	c.now += c.answerDeadline() + 1
 	c.leasedAt, c.knownAt = c.now, c.now
 	if a := reports(c, 3, 11); a.Status != 503 {
 		t.Errorf("past the horizon the answer is %+v", a)
@@ -94,9 +94,9 @@
 // counts on the silence that was promised.
 func TestResignedTerm(t *testing.T) {
 	c, p, _, _ := holder(t)
-	ver, rec := p.ver, mustJSON(partRecord{Node: c.set.Node, Inc: c.inc})
-	c.release(p, "test")
-	p.rec, p.ver = partRecord{}, 0 // as when everything is read again
+	ver, rec := p.ver, mustJSON(partitionRecord{Node: c.set.Node, Inc: c.inc})
+	c.resignPartition(p, "test")
+	p.rec, p.ver = partitionRecord{}, 0 // as when everything is read again
 	c.apply(p.key(), rec, ver)
 	if p.held {
 		t.Error("held again under the term that was given up")
@@ -147,9 +147,9 @@
 // cancellation was: each flush with a start of a job guards that job's key.
 func TestStartGuardsItsJob(t *testing.T) {
 	c, p, m, j := holder(t)
-	c.assign(j, 0, standing{})
-	j.task(0).kept = standing{}
-	c.change(j, 0, standing{placed, 2, m.name})
+	c.assign(j, 0, taskRecord{})
+	j.task(0).kept = taskRecord{}
+	c.change(j, 0, taskRecord{placed, 2, m.name})
 	f := c.build(p, 10)
 	if f == nil || !slices.Contains(f.req.If, wire.Guard{Key: jobKey + j.id, Version: j.ver}) {
 		t.Errorf("a start is committed without its job's key: %+v", f)
@@ -190,8 +190,8 @@
 			t.Fatal("the task was not seen")
 		}
 		if away { // lost and taken again
-			c.lose(p, "test")
-			c.apply(p.key(), mustJSON(partRecord{Node: c.set.Node, Inc: c.inc}), 20)
+			c.losePartition(p, "test")
+			c.apply(p.key(), mustJSON(partitionRecord{Node: c.set.Node, Inc: c.inc}), 20)
 		}
 		c.renewed(m, 2)
 		if gone := len(m.on) == 0; gone == away {
@@ -204,11 +204,11 @@
 // often it failed.
 func TestWhyItFails(t *testing.T) {
 	c, _, _, j := holder(t)
-	c.assign(j, 0, standing{})
+	c.assign(j, 0, taskRecord{})
 	for i := range 3 {
 		c.applyRow(machineRow{Name: fmt.Sprintf("n-%d", 2+i), Type: "g4", Zone: "alta", Cur: 0, Epoch: 1, Token: 11}, origin{1, 0, 1}, 11)
 		m := c.machines[fmt.Sprintf("n-%d", 2+i)]
-		c.assign(j, 0, standing{placed, uint64(i + 1), m.name})
+		c.assign(j, 0, taskRecord{placed, uint64(i + 1), m.name})
 		c.exited(j, 0, j.task(0), m, wire.TaskReport{Task: "wk-000001/0", Attempt: uint64(i + 1), State: wire.Exited, Why: wire.Failed})
 	}
 	var why string
@@ -231,7 +231,7 @@
 // the job's key that it follows.
 func TestEndGuardsItsJob(t *testing.T) {
 	c, p, _, j := holder(t)
-	c.change(j, 0, standing{done, 1, ""})
+	c.change(j, 0, taskRecord{done, 1, ""})
 	f := c.build(p, 10)
 	if f == nil || len(f.finals) != 1 || !slices.Contains(f.req.If, wire.Guard{Key: jobKey + j.id, Version: j.ver}) {
 		t.Errorf("an end is recorded without its job's key: %+v", f)
@@ -242,8 +242,8 @@
 // part was taken by another, or after a newer flush of the same term.
 func TestFlushGuardsTermAndSlot(t *testing.T) {
 	c, p, m, j := holder(t)
-	c.assign(j, 0, standing{})
-	c.change(j, 0, standing{placed, 2, m.name})
+	c.assign(j, 0, taskRecord{})
+	c.change(j, 0, taskRecord{placed, 2, m.name})
 	f := c.build(p, 10)
 	for _, g := range []wire.Guard{{Key: p.key(), Version: p.ver}, {Key: slotKey(p.idx, f.entries[0].slot), Version: f.was}} {
 		if !slices.Contains(f.req.If, g) {
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -19,13 +19,13 @@
 
 const (
 	unsure    outcome = iota // over; its final record is being read
-	live                     // neither
-	ended                    // done
-	withdrawn                // cancelled, or needs one that is
+	unfinished                     // neither
+	outcomeDone                    // done
+	outcomeWithdrawn                // cancelled, or needs one that is
 )
 
-// need is a job that unfinished others need.
-type need struct {
+// dependency is a job that unfinished others dependency.
+type dependency struct {
 	outcome
 	at int64 // when it was done
 	by []*job
@@ -39,9 +39,9 @@
 	for _, id := range j.needs {
 		n := c.needs[id]
 		if n == nil {
-			n = &need{}
-			if n.outcome, n.at = c.known(id); n.outcome == unsure {
-				c.unsure = append(c.unsure, id)
+			n = &dependency{}
+			if n.outcome, n.at = c.knownOutcome(id); n.outcome == unsure {
+				c.outcomeUnknown = append(c.outcomeUnknown, id)
 			}
 			c.needs[id] = n
 		}
@@ -63,8 +63,8 @@
 	}
 }
 
-// known tells what became of a job, as far as no read is needed for it.
-func (c *Core) known(id string) (outcome, int64) {
+// knownOutcome tells what became of a job, as far as no read is needed for it.
+func (c *Core) knownOutcome(id string) (outcome, int64) {
 	if rec, ok := c.finals.state[id]; ok {
 		return rec.outcome(), rec.At
 	}
@@ -72,26 +72,26 @@
 	case j == nil:
 		return unsure, 0
 	case j.cancelled:
-		return withdrawn, 0
+		return outcomeWithdrawn, 0
 	}
-	return live, 0
+	return unfinished, 0
 }
 
 func (r finalRecord) outcome() outcome {
 	if r.State == wire.Done {
-		return ended
+		return outcomeDone
 	}
-	return withdrawn
+	return outcomeWithdrawn
 }
 
-// learn takes in what became of a job, and what follows for those that need it.
-func (c *Core) learn(id string, o outcome, at int64) {
+// settleNeed takes in what became of a job, and what follows for those that need it.
+func (c *Core) settleNeed(id string, o outcome, at int64) {
 	n := c.needs[id]
-	if n == nil || n.outcome == o || n.outcome >= ended {
+	if n == nil || n.outcome == o || n.outcome >= outcomeDone {
 		return
 	}
 	if n.outcome, n.at = o, at; o == unsure {
-		c.unsure = append(c.unsure, id)
+		c.outcomeUnknown = append(c.outcomeUnknown, id)
 	}
 	for _, j := range n.by {
 		c.review(j)
@@ -104,25 +104,25 @@
 	j.open, j.unsure, j.needed = 0, 0, 0
 	for _, id := range j.needs {
 		switch n := c.needs[id]; n.outcome {
-		case ended:
+		case outcomeDone:
 			j.needed = max(j.needed, n.at)
 			continue
 		case unsure:
 			j.unsure++
-		case withdrawn:
+		case outcomeWithdrawn:
 			j.doomed = true
 		}
 		j.open++
 	}
 	if had > 0 && j.open == 0 {
 		c.debug("all that the job needs is done", "job", j.id, "after_s", (c.now-j.at)/Second)
-		c.early(0)
+		c.planWithin(0)
 	}
 	if j.doomed && !j.cancelled {
 		j.cancelled = true
 		c.debug("job withdrawn with one that it needs", "job", j.id)
 		c.mark(j)
-		c.learn(j.id, withdrawn, 0)
+		c.settleNeed(j.id, outcomeWithdrawn, 0)
 	}
 }
 
@@ -154,14 +154,14 @@
 	if !c.synced || c.now < c.unsureAt {
 		return
 	}
-	for len(c.unsure) > 0 && c.asking < maxReads/2 {
-		id := c.unsure[0]
-		c.unsure = c.unsure[1:]
+	for len(c.outcomeUnknown) > 0 && c.asking < maxReads/2 {
+		id := c.outcomeUnknown[0]
+		c.outcomeUnknown = c.outcomeUnknown[1:]
 		if n := c.needs[id]; n == nil || n.outcome != unsure {
 			continue
 		}
-		if o, at := c.known(id); o != unsure {
-			c.learn(id, o, at)
+		if o, at := c.knownOutcome(id); o != unsure {
+			c.settleNeed(id, o, at)
 			continue
 		}
 		c.readNeed(id, func(f found) {
@@ -169,7 +169,7 @@
 				if f == never {
 					c.fault("no trace of a job that others need", "job", id)
 				}
-				c.unsure, c.unsureAt = append(c.unsure, id), c.now+c.jitter(Second/2)
+				c.outcomeUnknown, c.unsureAt = append(c.outcomeUnknown, id), c.now+c.jitter(Second/2)
 			}
 		})
 	}
@@ -194,7 +194,7 @@
 			f(never)
 		case r.Status == 200 && json.Unmarshal(r.Item.Value, &rec) == nil && rec.State != "":
 			c.finals.add(id, rec)
-			c.learn(id, rec.outcome(), rec.At)
+			c.settleNeed(id, rec.outcome(), rec.At)
 			f(known)
 		default:
 			f(unknown)
@@ -202,10 +202,10 @@
 	})
 }
 
-// vouch makes sure that all jobs that a submission names were accepted, from a
+// checkNeeds makes sure that all jobs that a submission names were accepted, from a
 // read begun after it arrived where the mirror doesn't know one. It gives 0, or
 // the status of a refusal.
-func (c *Core) vouch(spec *wire.Job, f func(status int, why string)) {
+func (c *Core) checkNeeds(spec *wire.Job, f func(status int, why string)) {
 	if len(c.unknownNeeds(spec)) == 0 {
 		f(c.judgeNeeds(spec))
 		return
@@ -245,7 +245,7 @@
 func (c *Core) unknownNeeds(spec *wire.Job) []string {
 	var list []string
 	for _, id := range spec.Needs {
-		if o, _ := c.known(id); o == unsure {
+		if o, _ := c.knownOutcome(id); o == unsure {
 			list = append(list, id)
 		}
 	}
@@ -287,9 +287,9 @@
 func (c *Core) shorten(rec *jobRecord) {
 	var left []string
 	for _, id := range rec.Spec.Needs {
-		switch o, _ := c.known(id); o {
-		case ended:
-		case withdrawn:
+		switch o, _ := c.knownOutcome(id); o {
+		case outcomeDone:
+		case outcomeWithdrawn:
 			rec.Spec.Needs, rec.Cancelled = nil, true
 			return
 		default:
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -8,11 +8,11 @@
 	"spurmoor/internal/wire"
 )
 
-// part is a share of the teams, held by one controller at a time. Its term
+// partition is a share of the teams, held by one controller at a time. Its term
 // is the version of its key at take-over.
-type part struct {
+type partition struct {
 	idx    int
-	rec    partRecord
+	rec    partitionRecord
 	ver    uint64
 	held   bool
 	freeAt int64
@@ -32,21 +32,21 @@
 	spare    string             // machine of another part that is to be given to us once it is empty
 }
 
-func (p *part) key() string { return partKey + strconv.Itoa(p.idx) }
+func (p *partition) key() string { return partitionKey + strconv.Itoa(p.idx) }
 
 // Our lease, and how long its holder may act on it.
 func (c *Core) ttl() int64 { return secs(c.set.Ops.HoldTTLS) }
 
-// horizon is how long a holder still answers reports after the last moment of
+// answerDeadline is how long a holder still answers reports after the last moment of
 // which its mirror shows all: a task that is kept alive by an answer given then,
 // though its job was cancelled elsewhere, is gone within cancel_s all the same.
-func (c *Core) horizon() int64 { return min(secs(c.set.Facts.Horizon()), 40*Second) }
+func (c *Core) answerDeadline() int64 { return min(secs(c.set.Facts.Horizon()), 40*Second) }
 
-// certainAt is from when the horizon counts: the last moment at which we were
+// replicaCertainAt is from when the horizon counts: the last moment at which we were
 // known to hold our lease and the mirror to be complete. A renewal alone does not
 // move it: one once succeeded while the watch still hung after a refusal, and a
 // cancellation told elsewhere in between outlived cancel_s in the outage after it.
-func (c *Core) certainAt() int64 { return min(c.leasedAt, c.knownAt) }
+func (c *Core) replicaCertainAt() int64 { return min(c.leasedAt, c.knownAt) }
 
 // startAge is how old the mirror may be when a task is started: a cancellation
 // told elsewhere since is not in it.
@@ -61,7 +61,7 @@
 // leaseBound is how long after a take-over a worker that the holder before
 // may have answered can have kept its tasks.
 func (c *Core) leaseBound() int64 {
-	return max(0, c.horizon()-c.ttl()) + c.leaseS() + Second
+	return max(0, c.answerDeadline()-c.ttl()) + c.leaseS() + Second
 }
 
 // leaseS is the workers' lease by a clock that runs slow.
@@ -70,8 +70,8 @@
 // answers tells whether we may answer reports for a part. Past our lease we do
 // so only while the state service may be away for everyone: where another
 // controller has it, the workers move on to that one at once.
-func (c *Core) answers(p *part) bool {
-	if !p.held || c.leasedAt == 0 || c.now >= c.certainAt()+c.horizon() {
+func (c *Core) answers(p *partition) bool {
+	if !p.held || c.leasedAt == 0 || c.now >= c.replicaCertainAt()+c.answerDeadline() {
 		return false
 	}
 	return c.now < c.leasedAt+c.ttl()+Second || !c.othersAble()
@@ -114,7 +114,7 @@
 			c.renewAt = c.now
 			for _, p := range c.parts {
 				if p.held {
-					c.lose(p, "our lease ended")
+					c.losePartition(p, "our lease ended")
 				}
 			}
 		default:
@@ -123,13 +123,13 @@
 	})
 }
 
-// partChanged takes in a part's key; version 0: it has none.
-func (c *Core) partChanged(p *part, rec partRecord, ver uint64) {
+// partitionChanged takes in a part's key; version 0: it has none.
+func (c *Core) partitionChanged(p *partition, rec partitionRecord, ver uint64) {
 	// Never again under a term that we gave up: the deletion of its key may still
 	// be carried out, and whoever takes the part then counts on our silence.
 	mine := ver > p.resigned && rec.Node == c.set.Node && rec.Inc == c.inc && c.lease != 0
 	if p.held && (!mine || ver != p.ver) {
-		c.lose(p, "taken or expired")
+		c.losePartition(p, "taken or expired")
 	}
 	p.rec, p.ver = rec, ver
 	if ver == 0 {
@@ -148,8 +148,8 @@
 				p.dirty[id] = true
 			}
 		}
-		c.orphans()
-		c.early(Second / 5)
+		c.dropOrphans()
+		c.planWithin(Second / 5)
 	}
 }
 
@@ -171,8 +171,8 @@
 	m.op, m.moveTo = opNone, -1
 }
 
-// lose stops acting for a part and throws away what was not committed.
-func (c *Core) lose(p *part, why string) {
+// losePartition stops acting for a part and throws away what was not committed.
+func (c *Core) losePartition(p *partition, why string) {
 	p.held = false
 	p.freeAt = c.now
 	c.info("part lost", "part", p.idx, "why", why)
@@ -196,13 +196,13 @@
 	}
 }
 
-// rank is how far down the order of takers of a part a node stands.
-func (c *Core) rank(p *part, node string) int {
+// takeoverRank is how far down the order of takers of a part a node stands.
+func (c *Core) takeoverRank(p *partition, node string) int {
 	n := len(c.set.Nodes)
 	return (slices.Index(c.set.Nodes, node) - p.idx%n + n) % n
 }
 
-func (c *Core) keepParts() {
+func (c *Core) keepPartitions() {
 	if !c.synced {
 		return
 	}
@@ -212,17 +212,17 @@
 			c.handBack(p)
 		case p.taking || c.lease == 0 || c.now >= c.leasedAt+c.ttl()/2 || c.now < c.stepBack || c.cutOff && c.othersAble():
 		case p.ver > 0 && p.rec.Node == c.set.Node:
-			c.take(p) // of an earlier process of ours
-		case p.ver == 0 && c.now >= p.freeAt+int64(c.rank(p, c.set.Node))*3*Second/2:
-			c.take(p)
+			c.takePartition(p) // of an earlier process of ours
+		case p.ver == 0 && c.now >= p.freeAt+int64(c.takeoverRank(p, c.set.Node))*3*Second/2:
+			c.takePartition(p)
 		}
 	}
 }
 
-func (c *Core) take(p *part) {
+func (c *Core) takePartition(p *partition) {
 	p.taking = true
-	rec := partRecord{Node: c.set.Node, Inc: c.inc}
-	t := &txn{req: wire.Txn{If: []wire.Guard{{Key: p.key(), Version: p.ver}},
+	rec := partitionRecord{Node: c.set.Node, Inc: c.inc}
+	t := &transaction{req: wire.Txn{If: []wire.Guard{{Key: p.key(), Version: p.ver}},
 		Then: []wire.Write{{Put: p.key(), Value: mustJSON(rec), Lease: c.lease}}}}
 	free := func() { p.taking = false; p.freeAt = max(p.freeAt, c.now-Second) }
 	// Held only once the mirror shows it: then it shows all before it too.
@@ -234,25 +234,25 @@
 
 // handBack returns a part to the controller that it belongs to by default,
 // once that one has been well for a while.
-func (c *Core) handBack(p *part) {
+func (c *Core) handBack(p *partition) {
 	owner := c.set.Nodes[p.idx%len(c.set.Nodes)]
 	h := c.heartbeats[owner]
 	if owner == c.set.Node || c.now < p.tookAt+15*Second || h == nil || !h.storeOK || c.now > h.at+3*Second || c.now < h.since+8*Second {
 		return
 	}
-	c.release(p, "handed back to "+owner)
+	c.resignPartition(p, "handed back to "+owner)
 }
 
-// release gives a part up. We stop answering for it before the key goes.
-func (c *Core) release(p *part, why string) {
+// resignPartition gives a part up. We stop answering for it before the key goes.
+func (c *Core) resignPartition(p *partition, why string) {
 	ver := p.ver
 	p.resigned = ver
-	c.lose(p, why)
+	c.losePartition(p, why)
 	p.freeAt = c.now + 3*Second
-	t := &txn{ok: func(uint64) {}, failed: func() {}}
+	t := &transaction{ok: func(uint64) {}, failed: func() {}}
 	t.req.If = []wire.Guard{{Key: p.key(), Version: ver}}
 	t.req.Then = []wire.Write{{Delete: p.key()}}
-	p.rec = partRecord{} // not ours any more, whatever the mirror still says
+	p.rec = partitionRecord{} // not ours any more, whatever the mirror still says
 	c.txns = append(c.txns, t)
 	c.sendTxn(t)
 }
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -6,8 +6,8 @@
 	"spurmoor/internal/wire"
 )
 
-// early wants a cycle no later than d from now.
-func (c *Core) early(d int64) {
+// planWithin wants a cycle no later than d from now.
+func (c *Core) planWithin(d int64) {
 	if at := c.now + d; c.wantCycle == 0 || at < c.wantCycle {
 		c.wantCycle = at
 	}
@@ -30,7 +30,7 @@
 		return
 	}
 	c.urgencies()
-	c.promise()
+	c.reserveAhead()
 	for _, p := range c.parts {
 		if p.held {
 			c.plan(p)
@@ -45,7 +45,7 @@
 }
 
 // plan makes and carries out one part's plan.
-func (c *Core) plan(p *part) {
+func (c *Core) plan(p *partition) {
 	v, jobs := c.view(p)
 	plan := sched.Make(v)
 	c.placeAll(plan.Starts, jobs)
@@ -89,7 +89,7 @@
 		if j.spec.Kind == wire.Gang {
 			attempt = gangAttempt[j.id]
 		}
-		c.change(j, n, standing{placed, attempt, s.Machine.Name})
+		c.change(j, n, taskRecord{placed, attempt, s.Machine.Name})
 		c.debug("task placed", "job", j.id, "task", n, "attempt", attempt, "machine", s.Machine.Name, "waited_s", (c.now-j.from())/Second)
 		if m := c.machines[s.Machine.Name]; m.claim == j.id {
 			m.claim = ""
@@ -123,7 +123,7 @@
 }
 
 // askOthers asks the other parts for machines of theirs that the part needs.
-func (c *Core) askOthers(p *part, plan *sched.Plan, jobs map[string]*job) {
+func (c *Core) askOthers(p *partition, plan *sched.Plan, jobs map[string]*job) {
 	for _, m := range plan.Borrow {
 		rec := c.machines[m.Name].rec
 		c.asks = append(c.asks, peer.Ask{Machine: m.Name, Part: p.idx, Reclaim: rec.Home == p.idx})
@@ -139,7 +139,7 @@
 	}
 	if len(c.asks) > 0 {
 		c.heartbeatAt = c.now
-		c.heed(c.asks)
+		c.handleAsks(c.asks)
 	}
 }
 
--- a/internal/core/promise.go
+++ b/internal/core/promise.go
@@ -5,16 +5,16 @@
 	"spurmoor/internal/wire"
 )
 
-// promise works out, for all parts, which machines are kept for gangs of which
+// reserveAhead works out, for all parts, which machines are kept for gangs of which
 // nothing runs though a quarter of begin_within_s is over. Until half of it is,
 // only for those that can't have their machines sooner by stopping others.
-func (c *Core) promise() {
+func (c *Core) reserveAhead() {
 	c.promised = map[string]sched.Promised{}
 	due := c.dueGangs()
 	if due == nil {
 		return
 	}
-	c.promised = sched.Promise(c.now, c.now-secs(c.set.Ops.BeginWithinS/2), c.promisable(), due)
+	c.promised = sched.Promise(c.now, c.now-secs(c.set.Ops.BeginWithinS/2), c.reservableMachines(), due)
 	kept := map[string]bool{}
 	for _, pr := range c.promised {
 		kept[pr.Job.ID] = true
@@ -45,7 +45,7 @@
 		if c.now < j.unpromised {
 			continue
 		}
-		sj := c.shown(j)
+		sj := c.jobView(j)
 		sj.Pending = j.spec.Tasks
 		due = append(due, sj)
 	}
@@ -55,25 +55,25 @@
 // waitsLong tells whether a gang could run, and has waited for a quarter of the
 // time within which it should have begun.
 func (c *Core) waitsLong(j *job) bool {
-	if j.spec.Kind != wire.Gang || j.over || j.halted() || j.open > 0 || j.begun() {
+	if j.spec.Kind != wire.Gang || j.over || j.mustNotRun() || j.open > 0 || j.begun() {
 		return false
 	}
-	if c.outOfTurn(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
+	if c.deprioritized(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
 		return false
 	}
 	return c.now >= j.from()+secs(c.set.Ops.BeginWithinS/4)
 }
 
-// promisable shows the machines of all parts that may be promised.
-func (c *Core) promisable() []*sched.Machine {
+// reservableMachines shows the machines of all parts that may be promised.
+func (c *Core) reservableMachines() []*sched.Machine {
 	var list []*sched.Machine
 	for _, m := range c.order {
-		if m.typ == nil || m.rec.Gone || m.faulty || m.notice > 0 || m.deaf > 0 || c.ours(m) != nil && c.overdue(m) {
+		if m.typ == nil || m.rec.Gone || m.faulty || m.notice > 0 || m.deaf > 0 || c.heldPartition(m) != nil && c.overdue(m) {
 			continue
 		}
-		sm := c.shownMachine(m)
+		sm := c.machineView(m)
 		// Whether another's machine is up is not in the mirror: by its age.
-		sm.Usable = m.upAt > 0 || c.ours(m) == nil && (len(m.on) > 0 || c.now > m.bornAt+secs(1.5*m.typ.BootS))
+		sm.Usable = m.upAt > 0 || c.heldPartition(m) == nil && (len(m.on) > 0 || c.now > m.bornAt+secs(1.5*m.typ.BootS))
 		sm.ReadyAt = max(c.now, m.bornAt+secs(m.typ.BootS))
 		c.uses(sm, m, nil)
 		list = append(list, sm)
@@ -81,8 +81,8 @@
 	return list
 }
 
-// promisedTo is the part whose gang a machine is kept for; -1: none.
-func (c *Core) promisedTo(m *machine) int {
+// reservedFor is the part whose gang a machine is kept for; -1: none.
+func (c *Core) reservedFor(m *machine) int {
 	if pr, ok := c.promised[m.name]; ok {
 		if j := c.jobs[pr.Job.ID]; j != nil && j.nPlaced+j.nDone == 0 && !j.cancelled && !j.over {
 			return j.part
@@ -91,12 +91,12 @@
 	return -1
 }
 
-// keepPromise empties a machine that is kept for a gang that is due, where what
+// keepReservation empties a machine that is kept for a gang that is due, where what
 // runs is of a lower tier and the gang's other machines are about ready, and
 // lends it to the gang's part.
-func (c *Core) keepPromise(m *machine) {
+func (c *Core) keepReservation(m *machine) {
 	pr := c.promised[m.name]
-	to := c.promisedTo(m)
+	to := c.reservedFor(m)
 	if len(m.on) == 0 {
 		// Not at once again where two controllers see it differently.
 		if to != m.rec.Cur && m.ready && c.now > m.waitFrom+4*Second {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -13,12 +13,12 @@
 	typesKey = Live + "c"  // the cloud's catalogue, prices as of some time; its further pages below
 	jobKey   = Live + "j/" // one for each unfinished job
 	logKey   = Live + "l/" // PART/SLOT: a part's log of tasks and machines
-	partKey  = Live + "p/"
-	formKey  = Live + "v/" // NODE: the form that its controllers read and write
+	partitionKey  = Live + "p/"
+	schemaKey  = Live + "v/" // NODE: the form that its controllers read and write
 	overKey  = "over/"
 )
 
-type partRecord struct {
+type partitionRecord struct {
 	Node string `json:"n"`
 	Inc  uint64 `json:"i"`
 }
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -14,8 +14,8 @@
 	items []wire.Item
 }
 
-// keepMirror keeps one watch open, and reads at once for those who wait.
-func (c *Core) keepMirror() {
+// keepReplica keeps one watch open, and reads at once for those who wait.
+func (c *Core) keepReplica() {
 	if !c.synced {
 		// Who waits for a read is told at once that there is none: reading
 		// everything again may take as long as an outage lasts.
@@ -61,7 +61,7 @@
 
 // watchFor is how long a watch waits for a change: its answer says how things
 // were no earlier than when it was asked for, and the horizon counts from there.
-func (c *Core) watchFor() int64 { return max(Second/4, min(2*Second, c.horizon()/6)) }
+func (c *Core) watchFor() int64 { return max(Second/4, min(2*Second, c.answerDeadline()/6)) }
 
 // readAge is how old a read may be when it is told to a user.
 const readAge = Second
@@ -111,7 +111,7 @@
 			c.reset()
 			// Parts last: a log is applied as long as its part is not ours. Its
 			// slots come in no order: rows and runs say which is later.
-			for _, prefix := range []string{adoptKey, typesKey, formKey, jobKey, logKey, partKey} {
+			for _, prefix := range []string{adoptKey, typesKey, schemaKey, jobKey, logKey, partitionKey} {
 				for _, it := range l.items {
 					if strings.HasPrefix(it.Key, prefix) {
 						c.apply(it.Key, it.Value, it.Version)
@@ -131,18 +131,18 @@
 func (c *Core) reset() {
 	for _, p := range c.parts {
 		if p.held {
-			c.lose(p, "everything is read again")
+			c.losePartition(p, "everything is read again")
 			// Under a term of its own then: a copy of a flush that we forget
 			// here may still be carried out under this one.
 			c.inc++
 		}
-		p.rec, p.ver, p.log = partRecord{}, 0, nil
+		p.rec, p.ver, p.log = partitionRecord{}, 0, nil
 		p.freeAt = c.now
 	}
 	clear(c.machines)
 	clear(c.jobs)
 	clear(c.needs)
-	c.unsure = nil
+	c.outcomeUnknown = nil
 	clear(c.tombs)
 	clear(c.rows)
 	c.order = nil
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -28,7 +28,7 @@
 	if m.addr == "" || m.newer(r) {
 		m.addr = r.Addr
 	}
-	if p := c.ours(m); p == nil || !c.answers(p) {
+	if p := c.heldPartition(m); p == nil || !c.answers(p) {
 		c.answer(v.Req, 421, wire.Redirect{To: c.holderElsewhere(m)})
 		return
 	}
@@ -37,7 +37,7 @@
 		return
 	}
 	m.reportAt = c.now
-	commands := c.takeIn(m, r, true)
+	commands := c.applyReport(m, r, true)
 	m.deadAt = max(m.deadAt, c.now+c.leaseS()+Second/2)
 	c.answer(v.Req, 200, wire.Orders{Token: c.tokenOf(m), Commands: commands})
 }
@@ -48,7 +48,7 @@
 // of seven hundred machines had run out.
 func (c *Core) holderElsewhere(m *machine) string {
 	known := m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && c.parts[m.rec.Cur].ver > 0
-	if !known || c.ours(m) != nil || !c.leaseValid() {
+	if !known || c.heldPartition(m) != nil || !c.leaseValid() {
 		return ""
 	}
 	if node := c.parts[m.rec.Cur].rec.Node; node != c.set.Node {
@@ -61,7 +61,7 @@
 // "" if it may be.
 func (c *Core) notEntitled(m *machine, r *wire.Report) string {
 	switch {
-	case c.outlives(m):
+	case c.mustExpire(m):
 		return "a cancelled task may still start there"
 	case r.Token > c.tokenOf(m):
 		// Someone was entitled after us: our mirror is behind.
@@ -73,14 +73,14 @@
 	return ""
 }
 
-// outlives tells whether a machine is to lose its lease for a job that was
+// mustExpire tells whether a machine is to lose its lease for a job that was
 // cancelled a horizon ago: a direct start of it there had no answer and is not
 // ruled out by a higher token, for that needs the state service. Everything else
 // that must stop is told with each answer that renews the lease.
-func (c *Core) outlives(m *machine) bool {
+func (c *Core) mustExpire(m *machine) bool {
 	for _, id := range m.on {
 		j := c.jobs[id.job]
-		if t := j.task(id.n); j.halted() && !t.shown && t.pushed >= c.tokenOf(m) && t.pushed > 0 && c.now > j.haltedAt+c.horizon() {
+		if t := j.task(id.n); j.mustNotRun() && !t.shown && t.pushed >= c.tokenOf(m) && t.pushed > 0 && c.now > j.haltedAt+c.answerDeadline() {
 			return true
 		}
 	}
@@ -91,8 +91,8 @@
 	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
 }
 
-// pushed takes in the answer to commands sent directly.
-func (c *Core) pushed(v Pushed) {
+// commandsAnswered takes in the answer to commands sent directly.
+func (c *Core) commandsAnswered(v Pushed) {
 	if v.Status != 0 {
 		c.heardAt, c.cutOff = c.now, false
 	}
@@ -108,7 +108,7 @@
 	if v.Unsent {
 		m.pushAt = c.now + Second/5
 	}
-	if c.ours(m) == nil {
+	if c.heldPartition(m) == nil {
 		return
 	}
 	c.settleStarts(m, v)
@@ -122,7 +122,7 @@
 		return
 	}
 	if v.Report.Token <= c.tokenOf(m) {
-		c.takeIn(m, v.Report, false)
+		c.applyReport(m, v.Report, false)
 	}
 }
 
@@ -144,8 +144,8 @@
 	}
 }
 
-// push sends direct commands; none at all still raise the worker's token.
-func (c *Core) push(m *machine, cmds []wire.Command) {
+// sendCommands sends direct commands; none at all still raise the worker's token.
+func (c *Core) sendCommands(m *machine, cmds []wire.Command) {
 	m.pushing = true
 	if cmds == nil {
 		cmds = []wire.Command{}
@@ -161,9 +161,9 @@
 // maxOrders keeps an answer's one line below 64 KiB.
 const maxOrders = 400
 
-// intake is a worker's report while it is taken in, with the commands that bring
+// reportIntake is a worker's report while it is taken in, with the commands that bring
 // the worker to what is recorded.
-type intake struct {
+type reportIntake struct {
 	*Core
 	m         *machine
 	report    *wire.Report
@@ -173,18 +173,18 @@
 	commands  []wire.Command
 }
 
-// takeIn takes in what a worker says of its tasks and gives the commands that
+// applyReport takes in what a worker says of its tasks and gives the commands that
 // bring it to what is recorded. Only the answer to a report may start tasks,
 // and only a report proves a task absent: a direct command's answer may be
 // older than a start that rides in a report's answer.
-func (c *Core) takeIn(m *machine, r *wire.Report, viaReport bool) []wire.Command {
+func (c *Core) applyReport(m *machine, r *wire.Report, viaReport bool) []wire.Command {
 	c.renewed(m, r.Session)
 	m.seq = r.Seq
 	// Its session, or the answer that keeps it, is no later than now. Counting
 	// from our own answers alone took a machine for dead that had booted for
 	// longer than a lease and was heard through a direct command first.
 	m.deadAt = max(m.deadAt, c.now+c.leaseS()+Second/2)
-	in := &intake{Core: c, m: m, report: r, viaReport: viaReport, seen: map[taskID]bool{}, commands: []wire.Command{}}
+	in := &reportIntake{Core: c, m: m, report: r, viaReport: viaReport, seen: map[taskID]bool{}, commands: []wire.Command{}}
 	if r.Token != c.tokenOf(m) {
 		in.stopCancelled()
 		return in.commands
@@ -200,20 +200,20 @@
 		}
 	}
 	if viaReport {
-		m.heed(c.now, in.commands)
+		m.noteRepeated(c.now, in.commands)
 	}
 	return in.commands
 }
 
 // command adds a command for the worker.
-func (in *intake) command(op string, id taskID, attempt uint64, grace *float64) {
+func (in *reportIntake) command(op string, id taskID, attempt uint64, grace *float64) {
 	if len(in.commands) < maxOrders {
 		in.commands = append(in.commands, wire.Command{Op: op, Task: id.String(), Attempt: attempt, GraceS: grace})
 	}
 }
 
 // stopNow has a task stopped without time to save.
-func (in *intake) stopNow(id taskID, attempt uint64) {
+func (in *reportIntake) stopNow(id taskID, attempt uint64) {
 	grace := 0.0
 	in.command(wire.Stop, id, attempt, &grace)
 }
@@ -224,36 +224,36 @@
 // Taken for news, such a copy proved tasks gone that had been started since. What
 // it must not run any more it is told at once: its lease is never renewed without
 // that.
-func (in *intake) stopCancelled() {
+func (in *reportIntake) stopCancelled() {
 	for _, tr := range in.report.Tasks {
 		id, ok := parseTask(tr.Task)
 		if !ok || tr.State == wire.Exited {
 			continue
 		}
-		if j := in.jobs[id.job]; j != nil && j.halted() {
+		if j := in.jobs[id.job]; j != nil && j.mustNotRun() {
 			in.stopNow(id, tr.Attempt)
 		}
 	}
 }
 
 // noteMachine takes in what a report says of the machine itself.
-func (in *intake) noteMachine() {
+func (in *reportIntake) noteMachine() {
 	c, m, r := in.Core, in.m, in.report
 	m.seenAt, m.reported = c.now, r.Tasks
 	if m.upAt == 0 {
 		m.upAt, m.idleAt = c.now, c.now
 		c.noteBoot(m)
 		c.info("machine up", "machine", m.name, "type", m.rec.Type, "zone", m.rec.Zone, "spot", m.rec.Spot, "after_s", (c.now-m.bornAt)/Second)
-		c.early(0)
+		c.planWithin(0)
 	}
 	if !m.ready {
 		m.ready = true
-		c.early(0)
+		c.planWithin(0)
 	}
 	if r.NoticeS != nil && m.notice == 0 {
 		m.notice = c.now + secs(*r.NoticeS)
 		c.info("machine will be taken", "machine", m.name, "in_s", *r.NoticeS, "tasks", len(m.on))
-		c.early(0)
+		c.planWithin(0)
 	}
 }
 
@@ -262,7 +262,7 @@
 // that has no effect; once forgotten, it would start anew. So tasks are forgotten
 // only under a token higher than that of any direct start there; it rises when
 // enough of them wait for it.
-func (in *intake) noteEnded() {
+func (in *reportIntake) noteEnded() {
 	in.forget = in.report.Token > in.m.startedBy
 	ended := 0
 	for _, tr := range in.report.Tasks {
@@ -276,7 +276,7 @@
 }
 
 // reported takes in one task that the worker shows.
-func (in *intake) reported(tr wire.TaskReport) {
+func (in *reportIntake) reported(tr wire.TaskReport) {
 	id, ok := parseTask(tr.Task)
 	if !ok {
 		return
@@ -297,10 +297,10 @@
 }
 
 // unrecorded answers a task that is not recorded on this machine.
-func (in *intake) unrecorded(j *job, id taskID, tr wire.TaskReport) {
+func (in *reportIntake) unrecorded(j *job, id taskID, tr wire.TaskReport) {
 	exited := tr.State == wire.Exited
 	switch {
-	case j != nil && j.halted() && !exited:
+	case j != nil && j.mustNotRun() && !exited:
 		in.stopNow(id, tr.Attempt)
 	case j != nil && !j.over && !j.durable(id.n):
 		// What is decided of it is being committed.
@@ -312,7 +312,7 @@
 }
 
 // recorded takes in the state of a task that is recorded on this machine.
-func (in *intake) recorded(j *job, id taskID, t *task, tr wire.TaskReport) {
+func (in *reportIntake) recorded(j *job, id taskID, t *task, tr wire.TaskReport) {
 	c, m := in.Core, in.m
 	in.seen[id] = true
 	t.shown = true
@@ -338,7 +338,7 @@
 
 // absent takes in that a task recorded on this machine is not in its report: it
 // is gone, or still to be started.
-func (in *intake) absent(id taskID) {
+func (in *reportIntake) absent(id taskID) {
 	c, r := in.Core, in.report
 	j := c.jobs[id.job]
 	t := j.task(id.n)
@@ -347,7 +347,7 @@
 	case !t.shown && t.pushed >= r.Token && c.mustStop(j, t):
 		// A direct start may still come; it counts as here until then.
 	case t.shown || c.mustStop(j, t):
-		c.gone(j, id.n, "no longer reported")
+		c.taskGone(j, id.n, "no longer reported")
 	case c.mayStart(in.m, j) && (t.pushed == 0 || t.pushed < r.Token):
 		// Not while a direct copy may come after this one was forgotten.
 		in.command(wire.Start, id, t.attempt, nil)
@@ -368,15 +368,15 @@
 		j := c.jobs[id.job]
 		t := j.task(id.n)
 		t.pushed = 0 // direct starts name the session
-		if t.shown && c.ours(m) != nil && j.part == m.rec.Cur {
-			c.gone(j, id.n, "its worker's session ended")
+		if t.shown && c.heldPartition(m) != nil && j.part == m.rec.Cur {
+			c.taskGone(j, id.n, "its worker's session ended")
 		}
 	}
 }
 
-// heed notes whether a worker does what it was told: one whose reports arrive
+// noteRepeated notes whether a worker does what it was told: one whose reports arrive
 // while answers and commands do not reach it needs to be told the same again.
-func (m *machine) heed(now int64, cmds []wire.Command) {
+func (m *machine) noteRepeated(now int64, cmds []wire.Command) {
 	again := slices.ContainsFunc(cmds, func(o wire.Command) bool {
 		return o.Op != wire.Stop && slices.ContainsFunc(m.told, func(t wire.Command) bool {
 			return t.Op == o.Op && t.Task == o.Task && t.Attempt == o.Attempt
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -6,9 +6,9 @@
 // blockedNamed is of how many blocked jobs of a team the summary says why they wait.
 const blockedNamed = 2
 
-// summary says now and then how things stand and why the first blocked jobs
+// logSummary says now and then how things stand and why the first blocked jobs
 // of each team wait.
-func (c *Core) summary() {
+func (c *Core) logSummary() {
 	if c.now < c.summaryAt {
 		return
 	}
@@ -40,7 +40,7 @@
 // the tasks on all of ours.
 func (c *Core) countMachines() (up, idle, tasks int) {
 	for _, m := range c.machines {
-		if c.ours(m) == nil {
+		if c.heldPartition(m) == nil {
 			continue
 		}
 		if m.upAt > 0 {
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -36,16 +36,16 @@
 	return j.spec.Kind == wire.Gang && !j.placing && !j.gathering() && j.nDone == 0 && j.nPlaced > 0 && j.nPlaced < j.spec.Tasks
 }
 
-// halted tells whether nothing of a job may run any more: it is cancelled, or
+// mustNotRun tells whether nothing of a job may run any more: it is cancelled, or
 // another controller says that it told its user so.
-func (j *job) halted() bool { return j.cancelled || j.told }
+func (j *job) mustNotRun() bool { return j.cancelled || j.told }
 
-func (c *Core) mustStop(j *job, t *task) bool { return j.halted() || t.leaving > 0 || j.broken() }
+func (c *Core) mustStop(j *job, t *task) bool { return j.mustNotRun() || t.leaving > 0 || j.broken() }
 
 // graceOf is how long a task that must stop may save. What a cancelled or
 // broken job saved is of no use.
 func (c *Core) graceOf(j *job, t *task) float64 {
-	if j.halted() || j.broken() || c.now > t.leaving+secs(t.grace+10) {
+	if j.mustNotRun() || j.broken() || c.now > t.leaving+secs(t.grace+10) {
 		return 0
 	}
 	return t.grace
@@ -57,11 +57,11 @@
 	if tr.Why == wire.Done && !j.cancelled {
 		m.fetched(j.spec.Image, j.spec.ImageGB)
 		c.taskSucceeded(j, m)
-		c.change(j, n, standing{done, attempt, ""})
-		c.early(0)
+		c.change(j, n, taskRecord{done, attempt, ""})
+		c.planWithin(0)
 		return
 	}
-	c.change(j, n, standing{queued, attempt, ""})
+	c.change(j, n, taskRecord{queued, attempt, ""})
 	t = j.task(n)
 	// Its worker still holds this attempt, so it must not be used again.
 	j.spoiled = j.nPlaced > 0
@@ -72,15 +72,15 @@
 		t.holdOff = c.now + 3*Second
 		c.info("start refused", "task", tr.Task, "machine", m.name, "why", tr.Why)
 	}
-	c.early(0)
+	c.planWithin(0)
 }
 
-// gone takes in that a task is proven to be on its machine no more.
-func (c *Core) gone(j *job, n int, why string) {
+// taskGone takes in that a task is proven to be on its machine no more.
+func (c *Core) taskGone(j *job, n int, why string) {
 	t := j.task(n)
 	c.debug("task gone", "job", j.id, "task", n, "machine", t.machine, "why", why)
-	c.change(j, n, standing{queued, t.attempt, ""})
-	c.early(0)
+	c.change(j, n, taskRecord{queued, t.attempt, ""})
+	c.planWithin(0)
 }
 
 // leave tells a task to save, if it can, and stop.
@@ -117,9 +117,9 @@
 	return c.starts() && m.ready && !m.rec.Gone && m.notice == 0 && (j.spec.Kind != wire.Gang || c.gangDurable(j))
 }
 
-// direct lists the commands worth sending at once: stops of tasks that must
+// directCommands lists the commands worth sending at once: stops of tasks that must
 // stop and have not begun to, and the first start of each task.
-func (c *Core) direct(m *machine) []wire.Command {
+func (c *Core) directCommands(m *machine) []wire.Command {
 	var cmds []wire.Command
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
@@ -137,9 +137,9 @@
 	return cmds
 }
 
-// orphans takes tasks off machines that have no record: a record goes only
+// dropOrphans takes tasks off machines that have no record: a record goes only
 // once all on the machine is proven gone.
-func (c *Core) orphans() {
+func (c *Core) dropOrphans() {
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
 		if !c.parts[j.part].held || j.nPlaced == 0 {
@@ -148,7 +148,7 @@
 		for _, k := range j.chunkList() {
 			for i := range j.chunks[k] {
 				if t := &j.chunks[k][i]; t.state == placed && c.machines[t.machine] == nil {
-					c.gone(j, k*chunkSize+i, "its machine's record is gone")
+					c.taskGone(j, k*chunkSize+i, "its machine's record is gone")
 				}
 			}
 		}
--- a/internal/core/txn.go
+++ b/internal/core/txn.go
@@ -2,9 +2,9 @@
 
 import "spurmoor/internal/wire"
 
-// txn is a conditional transaction that is repeated until its outcome is
+// transaction is a conditional transaction that is repeated until its outcome is
 // known.
-type txn struct {
+type transaction struct {
 	req    wire.Txn
 	over   bool
 	next   int64
@@ -16,7 +16,7 @@
 	failed func()
 }
 
-func (c *Core) sendTxn(t *txn) {
+func (c *Core) sendTxn(t *transaction) {
 	t.out = true
 	t.tries++
 	c.callStore(StoreCall{Op: OpTxn, Txn: &t.req}, func(r *StoreReply) {
@@ -47,7 +47,7 @@
 	})
 }
 
-func (c *Core) settle(t *txn) {
+func (c *Core) settle(t *transaction) {
 	c.read(func(ok bool) {
 		switch {
 		case t.over:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -125,7 +125,7 @@
 	if len(mustJSON(jobRecord{Spec: without(*spec), At: c.now})) > c.maxValue() {
 		return &refusal{400, "the job's description is too long", 0}
 	}
-	if o, _ := c.known(spec.ID); o != unsure {
+	if o, _ := c.knownOutcome(spec.ID); o != unsure {
 		// Known by the mirror: a transaction that is sure to fail would count
 		// as a change all the same.
 		return &refusal{503, "the state service is busy", 1}
@@ -149,7 +149,7 @@
 	}
 	at := c.now
 	c.accepts++
-	c.vouch(spec, func(status int, why string) {
+	c.checkNeeds(spec, func(status int, why string) {
 		c.accepts--
 		if status != 0 {
 			c.unlessKnown(reqID, spec.ID, refusal{status, why, 1})
@@ -293,7 +293,7 @@
 				switch r.Status {
 				case 200:
 					c.applyOwn(jobKey+v.ID, rec, r.Txn.Revision)
-					c.tellCancelled(v.ID)
+					c.notifyCancelled(v.ID)
 					c.answer(v.Req, 200, wire.JobStatus{ID: v.ID, State: wire.Cancelled})
 				case 409:
 					c.tryCancel(v, tries-1)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -12,7 +12,7 @@
 // viewer shows one part to the planner.
 type viewer struct {
 	*Core
-	p     *part
+	p     *partition
 	view  *sched.View
 	jobs  map[string]*job
 	shown map[string]*sched.Job
@@ -20,7 +20,7 @@
 }
 
 // view shows a part to the planner.
-func (c *Core) view(p *part) (*sched.View, map[string]*job) {
+func (c *Core) view(p *partition) (*sched.View, map[string]*job) {
 	v := &viewer{Core: c, p: p, jobs: map[string]*job{}, shown: map[string]*sched.Job{}, price: make([]float64, len(c.parts)),
 		view: &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops, Aims: map[string][]settings.Objective{}}}
 	v.addSettings()
@@ -60,10 +60,10 @@
 func (v *viewer) addJobs() {
 	for _, id := range sorted(v.Core.jobs) {
 		j := v.Core.jobs[id]
-		if j.part != v.p.idx || j.over || j.halted() || j.open > 0 {
+		if j.part != v.p.idx || j.over || j.mustNotRun() || j.open > 0 {
 			continue
 		}
-		sj := v.Core.shown(j)
+		sj := v.Core.jobView(j)
 		restarting := j.spec.Kind == wire.Gang && j.nPlaced > 0 && !j.gathering()
 		if v.now >= j.holdOff && !restarting {
 			sj.Pending = len(j.waiting(v.now, v.mostToPlace(j)))
@@ -75,8 +75,8 @@
 
 // addMachine shows a machine if it is any use to the part.
 func (v *viewer) addMachine(m *machine) {
-	sm := v.shownMachine(m)
-	if to := v.promisedTo(m); to >= 0 {
+	sm := v.machineView(m)
+	if to := v.reservedFor(m); to >= 0 {
 		pr := v.promised[m.name]
 		if sj := v.shown[pr.Job.ID]; sj != nil {
 			pr.Job = sj // the view's own
@@ -138,7 +138,7 @@
 	for _, i := range m.images {
 		sm.Images = append(sm.Images, i.name)
 	}
-	heard := m.deaf == 0 && v.now < m.seenAt+v.lately() && !v.mute(m)
+	heard := m.deaf == 0 && v.now < m.seenAt+v.lately() && !v.reportsMissing(m)
 	sm.Usable = m.ready && heard
 	switch {
 	case sm.Usable:
@@ -172,18 +172,18 @@
 	}
 }
 
-// shown shows a job to the planner.
-func (c *Core) shown(j *job) *sched.Job {
+// jobView shows a job to the planner.
+func (c *Core) jobView(j *job) *sched.Job {
 	sj := &sched.Job{ID: j.id, Spec: &j.spec, Need: j.need, Tier: c.tier(j), At: j.from(), Due: c.urgent[j.id].due, InZone: map[string]int{}, Avoid: j.avoid,
-		Deprior: c.outOfTurn(j), Begun: j.begun()}
+		Deprior: c.deprioritized(j), Begun: j.begun()}
 	for z, n := range j.zones {
 		sj.InZone[z] = n
 	}
 	return sj
 }
 
-// shownMachine shows a machine to the planner, without what runs on it.
-func (c *Core) shownMachine(m *machine) *sched.Machine {
+// machineView shows a machine to the planner, without what runs on it.
+func (c *Core) machineView(m *machine) *sched.Machine {
 	total := sched.ResOf(m.typ.CPUs, m.typ.GPUs, m.typ.MemoryGB)
 	return &sched.Machine{Name: m.name, Type: m.typ, Zone: m.rec.Zone, Spot: m.rec.Spot, Total: total, Free: total.Add(m.used, -1), Claim: m.claim}
 }
--- a/internal/rehearsal/versions_test.go
+++ b/internal/rehearsal/versions_test.go
@@ -267,7 +267,7 @@
 // productionReadsMessage checks that a message of ours means the same to production.
 func productionReadsMessage(t *testing.T) {
 	t.Helper()
-	b, err := peer.Encode(&peer.Heartbeat{Node: "nodo-2", StoreOK: true, Idle: []peer.Idle{{Machine: "n-1"}}, Asks: []peer.Ask{{Machine: "n-2", Tier: 4}}, Form: core.Form})
+	b, err := peer.Encode(&peer.Heartbeat{Node: "nodo-2", StoreOK: true, Idle: []peer.Idle{{Machine: "n-1"}}, Asks: []peer.Ask{{Machine: "n-2", Tier: 4}}, Form: core.SchemaVersion})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	g.Go(func() error { return s.loop(ctx) })
-	s.log.Info("controller started", "node", s.set.Node, "version", core.Version, "form", core.Form, "parts", s.set.Ops.Parts, "public", s.set.PublicAddr)
+	s.log.Info("controller started", "node", s.set.Node, "version", core.Version, "form", core.SchemaVersion, "parts", s.set.Ops.Parts, "public", s.set.PublicAddr)
 	return g.Wait()
 }
 
