--- a/cmd/spurmoor/main.go
+++ b/cmd/spurmoor/main.go
@@ -103,7 +103,7 @@
 				return err
 			}
 			for _, t := range set.Facts.Teams {
-				if _, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: part %d of %d\n", t.Name, set.TeamPart[t.Name], set.Ops.Parts); err != nil {
+				if _, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: part %d of %d\n", t.Name, set.TeamPartition[t.Name], set.Ops.Parts); err != nil {
 					return err
 				}
 			}
--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -18,10 +18,10 @@
 	a, b, ok := strings.Cut(key[len(logKey):], "/")
 	i, err := strconv.Atoi(a)
 	slot, err2 := strconv.Atoi(b)
-	if !ok || err != nil || err2 != nil || i < 0 || i >= len(c.parts) || slot < 0 {
+	if !ok || err != nil || err2 != nil || i < 0 || i >= len(c.partitions) || slot < 0 {
 		return nil, 0
 	}
-	return c.parts[i], slot
+	return c.partitions[i], slot
 }
 
 // apply takes in one key's value unless a newer one is known. A value that
@@ -58,12 +58,12 @@
 
 func (c *Core) applyPartition(name string, value []byte, ver uint64) error {
 	i, err := strconv.Atoi(name)
-	if err != nil || i < 0 || i >= len(c.parts) || c.parts[i].ver >= ver {
+	if err != nil || i < 0 || i >= len(c.partitions) || c.partitions[i].ver >= ver {
 		return nil // not one of ours, or older than what is known
 	}
 	var rec partitionRecord
 	err = json.Unmarshal(value, &rec)
-	c.partitionChanged(c.parts[i], rec, ver) // one that can't be read names no holder
+	c.partitionChanged(c.partitions[i], rec, ver) // one that can't be read names no holder
 	return err
 }
 
@@ -87,12 +87,12 @@
 	}
 	if j == nil {
 		j = &job{id: id, chunks: map[int][]task{}, avoid: map[string]bool{}, zones: map[string]int{},
-			need: sched.ResOf(rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB), part: c.set.TeamPart[rec.Spec.Team]}
+			need: sched.ResOf(rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB), partition: c.set.TeamPartition[rec.Spec.Team]}
 		c.jobs[id] = j
-		c.debug("job seen", "job", id, "kind", rec.Spec.Kind, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "part", j.part)
+		c.debug("job seen", "job", id, "kind", rec.Spec.Kind, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "part", j.partition)
 	}
 	was := j.cancelled
-	j.spec, j.at, j.cancelled, j.ver = rec.Spec, rec.At, rec.Cancelled || j.doomed, ver
+	j.spec, j.at, j.cancelled, j.ver = rec.Spec, rec.At, rec.Cancelled || j.needWithdrawn, ver
 	if j.needs == nil && !rec.Cancelled {
 		j.needs = rec.needs()
 		c.link(j)
@@ -163,21 +163,21 @@
 // applyRow takes in a machine's record unless a newer one is known.
 func (c *Core) applyRow(r machineRow, from origin, ver uint64) {
 	m := c.machines[r.Name]
-	known, ok := c.tombs[r.Name]
+	known, ok := c.tombstones[r.Name]
 	if m != nil {
 		known, ok = m.from, true
 	}
-	if ok && !known.before(from, r.Cur) || r.Cur < 0 || r.Cur >= len(c.parts) {
+	if ok && !known.before(from, r.Cur) || r.Cur < 0 || r.Cur >= len(c.partitions) {
 		return
 	}
 	if r.Dead {
-		c.tombs[r.Name] = from
+		c.tombstones[r.Name] = from
 		if m != nil {
 			c.dropMachine(m)
 		}
 		return
 	}
-	delete(c.tombs, r.Name)
+	delete(c.tombstones, r.Name)
 	moved := m != nil && m.rec.Cur != r.Cur
 	if m == nil {
 		m = c.newMachine(r)
@@ -237,8 +237,8 @@
 	switch {
 	case strings.HasPrefix(key, partitionKey):
 		i, err := strconv.Atoi(key[len(partitionKey):])
-		if err == nil && i >= 0 && i < len(c.parts) && c.parts[i].ver < ver {
-			c.partitionChanged(c.parts[i], partitionRecord{}, 0)
+		if err == nil && i >= 0 && i < len(c.partitions) && c.partitions[i].ver < ver {
+			c.partitionChanged(c.partitions[i], partitionRecord{}, 0)
 		}
 	case strings.HasPrefix(key, jobKey):
 		if j := c.jobs[key[len(jobKey):]]; j != nil && j.ver < ver {
@@ -249,7 +249,7 @@
 			}
 			rec, sure := c.final(j)
 			delete(c.jobs, j.id)
-			delete(c.parts[j.part].dirty, j.id)
+			delete(c.partitions[j.partition].dirty, j.id)
 			c.unlink(j)
 			if sure {
 				c.finals.add(j.id, rec)
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -27,13 +27,13 @@
 // some are refused and repeated until each has heard of the others.
 func (c *Core) share() float64 {
 	held := 0
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		if p.held {
 			held++
 		}
 	}
 	all := c.set.Facts.State.WriteRPS
-	fixed := all * (0.1 + 0.65*float64(held)/float64(len(c.parts)))
+	fixed := all * (0.1 + 0.65*float64(held)/float64(len(c.partitions)))
 	free := 0.9 * all
 	for _, node := range c.set.Nodes {
 		if node == c.set.Node {
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -20,7 +20,7 @@
 	if !c.typesBusy && c.now >= c.typesAt {
 		c.readCatalog()
 	}
-	if !slices.ContainsFunc(c.parts, func(p *partition) bool { return p.held }) {
+	if !slices.ContainsFunc(c.partitions, func(p *partition) bool { return p.held }) {
 		return
 	}
 	if !c.listing && c.now >= c.listAt {
@@ -235,17 +235,17 @@
 		// Only what answers is there: the report may be a late copy of one
 		// from a machine long returned. Token 0 has nothing done.
 		l.first = c.now
-		c.emit(Push{Machine: r.Machine, Addr: r.Addr, Body: wire.Push{Session: r.Session, Commands: []wire.Command{}}})
+		c.emit(SendCommands{Machine: r.Machine, Addr: r.Addr, Body: wire.CommandRequest{Session: r.Session, Commands: []wire.Command{}}})
 	}
 }
 
 // adopt records a stray machine in a part of ours; it is used or returned
 // like any other.
 func (c *Core) adopt(name, typ, zone string, spot bool, how string) {
-	if at, ok := c.graves[name]; ok && c.now < at+120*Second {
+	if at, ok := c.deletedAt[name]; ok && c.now < at+120*Second {
 		return
 	}
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		if p.held {
 			c.info("stray machine adopted", "machine", name, "type", typ, "how", how)
 			c.recordMachines(p, []machineRow{{Name: name, Type: typ, Zone: zone, Spot: spot, Home: p.idx, Cur: p.idx, At: c.now}}, true, func() {})
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -31,7 +31,7 @@
 		for _, r := range o.rows {
 			if c.rows[r.Name]--; c.rows[r.Name] == 0 {
 				delete(c.rows, r.Name)
-				delete(c.tombs, r.Name)
+				delete(c.tombstones, r.Name)
 			}
 		}
 		return true
@@ -111,9 +111,9 @@
 		return
 	}
 	c.refill()
-	for k := range c.parts {
+	for k := range c.partitions {
 		// Each part first in turn.
-		p := c.parts[(k+c.turn)%len(c.parts)]
+		p := c.partitions[(k+c.turn)%len(c.partitions)]
 		if !p.held || p.flush != nil || c.now < p.flushed+Second/10 || len(p.dirty) == 0 && len(p.ops) == 0 && len(p.fresh) == 0 {
 			continue
 		}
@@ -288,7 +288,7 @@
 		t.changed = false
 		s.j.nChanged--
 	}
-	if t.state == placed && !t.changed && !t.shown && t.pushed == 0 {
+	if t.state == placed && !t.changed && !t.seen && t.pushed == 0 {
 		if m := c.machines[t.machine]; m != nil {
 			m.pushAt = min(m.pushAt, c.now) // start it without waiting for a report
 		}
@@ -328,7 +328,7 @@
 // changeRecord wants a machine's record changed.
 func (c *Core) changeRecord(m *machine, op machineOp) {
 	m.op = op
-	p := c.parts[m.rec.Cur]
+	p := c.partitions[m.rec.Cur]
 	p.ops = append(p.ops, m)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,13 +49,13 @@
 	}
 	// Ready is GET /ready.
 	Ready struct{ Req uint64 }
-	// ReportIn is a worker's report.
-	ReportIn struct {
+	// ReportReceived is a worker's report.
+	ReportReceived struct {
 		Req    uint64
 		Report *wire.Report
 	}
-	// Pushed answers a Push.
-	Pushed struct {
+	// CommandsAnswered answers a Push.
+	CommandsAnswered struct {
 		Machine string
 		Token   uint64
 		Starts  bool
@@ -70,7 +70,7 @@
 		Item   wire.Item
 		Items  wire.Items
 		Txn    wire.TxnResult
-		Follow wire.Follow
+		Follow wire.WatchResponse
 		Lease  uint64
 	}
 	// CloudReply answers a CloudCall.
@@ -81,8 +81,8 @@
 		Names    []string
 		Machines wire.MachineList
 	}
-	// PeerIn is a message of another controller.
-	PeerIn struct{ Heartbeat *peer.Heartbeat }
+	// HeartbeatReceived is a message of another controller.
+	HeartbeatReceived struct{ Heartbeat *peer.Heartbeat }
 )
 
 // Effects of Step.
@@ -114,15 +114,15 @@
 		Names []string
 		After string
 	}
-	// Push sends commands to a worker directly.
-	Push struct {
+	// SendCommands sends commands to a worker directly.
+	SendCommands struct {
 		Machine string
 		Addr    string
 		Starts  bool // it starts tasks
-		Body    wire.Push
+		Body    wire.CommandRequest
 	}
-	// Tell sends a message to every other controller.
-	Tell struct{ Heartbeat *peer.Heartbeat }
+	// Broadcast sends a message to every other controller.
+	Broadcast struct{ Heartbeat *peer.Heartbeat }
 	// Log is a line for the log.
 	Log struct {
 		Level slog.Level
@@ -139,9 +139,9 @@
 	OpGet StoreOp = iota
 	OpList
 	OpTxn
-	OpHold
-	OpExtend
-	OpFollow
+	OpGrantLease
+	OpRenewLease
+	OpWatch
 )
 
 // CloudOp names a request to the cloud.
@@ -170,24 +170,24 @@
 	// the mirror of the state service
 	synced   bool
 	rev      uint64
-	knownAt  int64 // the mirror shows all that was committed before then
-	parts    []*partition
+	replicaAt  int64 // the mirror shows all that was committed before then
+	partitions    []*partition
 	machines map[string]*machine
 	order    []*machine        // by name
-	tombs    map[string]origin // machines deleted, while some log still names them
+	tombstones    map[string]origin // machines deleted, while some log still names them
 	rows     map[string]int    // how many entries of all logs name a machine
 	adoptVer uint64
 	jobs     map[string]*job
 	needs    map[string]*dependency
 	outcomeUnknown   []string // of the needs those whose final records are to be read
 	unsureAt int64    // not before
-	asking   int      // final records being read for needs
+	needReads   int      // final records being read for needs
 	urgent   map[string]urgency
 	finals   *finals
-	fresh    []func(ok bool) // wait for a read begun after they asked
+	waitingReads    []func(ok bool) // wait for a read begun after they asked
 	reading  bool
-	follows  bool
-	followAt int64
+	watching  bool
+	watchAt int64
 	readAt   int64
 	storeOK  int64 // last answer from the state service
 	storeBad int64 // when it last began not to answer; 0: it answers
@@ -219,7 +219,7 @@
 	typesBusy bool
 	pages     map[string]catalogPage // of the catalogue, by what follows its key
 	rentSeq   int
-	graves    map[string]int64 // machines lately deleted
+	deletedAt    map[string]int64 // machines lately deleted
 	refused   map[sched.Kind]int64
 	boots     map[string]boots // by type
 	listAt    int64
@@ -235,16 +235,16 @@
 	summaryAt int64
 	why       map[string]string
 	ends      map[string]int64
-	promised  map[string]sched.Promised // machines kept for gangs that are due
+	reserved  map[string]sched.AdvanceReservation // machines kept for gangs that are due
 
 	heartbeats  map[string]*heard
-	forms       map[string]int // by controller, the form that it is known to read
-	formAt      int64
-	formed      bool // all read ours; said so
+	schemas       map[string]int // by controller, the form that it is known to read
+	schemaAt      int64
+	schemaAgreed      bool // all read ours; said so
 	heartbeatAt int64
 	asks        []peer.Ask
-	tolds       []cancellationNotice
-	stepBack    int64 // takes no part before this
+	notices       []cancellationNotice
+	noTakeoverBefore    int64 // takes no part before this
 	unreached   int64
 	heardAt     int64 // any worker, of whatever part
 	cutOff      bool  // no worker reached us; none has answered since
@@ -259,13 +259,13 @@
 	c := &Core{
 		set: set, rng: rng, inc: inc,
 		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
-		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*dependency{}, forms: map[string]int{}, pages: map[string]catalogPage{}, tombs: map[string]origin{}, rows: map[string]int{},
+		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*dependency{}, schemas: map[string]int{}, pages: map[string]catalogPage{}, tombstones: map[string]origin{}, rows: map[string]int{},
 		finals: newFinals(20000), usage: map[string]*sched.Res{},
-		graves: map[string]int64{}, refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{},
+		deletedAt: map[string]int64{}, refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{},
 		typeOf: map[string]*wire.MachineType{}, heartbeats: map[string]*heard{}, why: map[string]string{},
 	}
 	for i := range set.Ops.Parts {
-		c.parts = append(c.parts, &partition{idx: i, dirty: map[string]bool{}})
+		c.partitions = append(c.partitions, &partition{idx: i, dirty: map[string]bool{}})
 	}
 	for _, t := range set.Facts.Teams {
 		c.usage[t.Name] = &sched.Res{}
@@ -291,9 +291,9 @@
 		c.explain(v)
 	case Ready:
 		c.ready(v)
-	case ReportIn:
+	case ReportReceived:
 		c.report(v)
-	case Pushed:
+	case CommandsAnswered:
 		c.commandsAnswered(v)
 	case *StoreReply:
 		c.storeReply(v)
@@ -302,7 +302,7 @@
 			delete(c.cloud, v.Call)
 			f(v)
 		}
-	case PeerIn:
+	case HeartbeatReceived:
 		c.heartbeat(v.Heartbeat)
 	}
 	c.housekeep()
--- a/internal/core/entries.go
+++ b/internal/core/entries.go
@@ -131,7 +131,7 @@
 		here := origin{r.Epoch, b.p.idx, old.seq}
 		if m := b.c.machines[r.Name]; m != nil && m.from == here {
 			r = m.rec
-		} else if t, ok := b.c.tombs[r.Name]; !ok || t != here || b.c.rows[r.Name] <= 1 {
+		} else if t, ok := b.c.tombstones[r.Name]; !ok || t != here || b.c.rows[r.Name] <= 1 {
 			continue
 		}
 		size += r.size()
@@ -185,13 +185,13 @@
 	for _, n := range p.fresh {
 		n.rows = slices.DeleteFunc(n.rows, func(r machineRow) bool { return c.machines[r.Name] != nil })
 		if n.adopt && !adopts {
-			if len(b.f.req.If)+3*len(c.parts) > b.conds || b.most <= len(b.f.entries) {
+			if len(b.f.req.If)+3*len(c.partitions) > b.conds || b.most <= len(b.f.entries) {
 				continue
 			}
 			adopts = true
 			b.most--
 			b.f.req.Then = append(b.f.req.Then, wire.Write{Put: adoptKey, Value: mustJSON(struct{}{})})
-			for _, o := range c.parts {
+			for _, o := range c.partitions {
 				if o == p {
 					continue
 				}
@@ -203,7 +203,7 @@
 		}
 		size := 0
 		for i := range n.rows {
-			n.rows[i].Epoch = c.tombs[n.rows[i].Name].epoch + 1
+			n.rows[i].Epoch = c.tombstones[n.rows[i].Name].epoch + 1
 			size += n.rows[i].size()
 		}
 		if !b.room(size) {
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -27,10 +27,10 @@
 
 // explanation tells what is known of an unfinished job.
 func (c *Core) explanation(j *job, state string) wire.Explanation {
-	e := wire.Explanation{ID: j.id, State: state, Holder: c.parts[j.part].rec.Node, Why: c.why[j.id],
+	e := wire.Explanation{ID: j.id, State: state, Holder: c.partitions[j.partition].rec.Node, Why: c.why[j.id],
 		WaitedS: float64(c.now-j.at) / float64(Second)}
 	switch {
-	case j.open > 0:
+	case j.openNeeds > 0:
 		e.Why = "waits for other jobs to be done"
 		for _, id := range j.needs {
 			if c.needs[id].outcome != outcomeDone && len(e.WaitsFor) < maxNamed {
@@ -39,7 +39,7 @@
 		}
 	case e.Holder == "":
 		e.Why = "no controller holds its team's part at the moment"
-	case !c.parts[j.part].held:
+	case !c.partitions[j.partition].held:
 		e.Why = "ask " + e.Holder + ", which plans it"
 	case j.suspect:
 		e.Why = fmt.Sprintf("it fails on every machine that it is tried on: %d failures so far", j.failures)
@@ -99,7 +99,7 @@
 	case j.spec.Kind == wire.Daemon:
 		end = 0
 	case end > c.now:
-	case j.open == 0 && c.parts[j.part].held:
+	case j.openNeeds == 0 && c.partitions[j.partition].held:
 		end = 0 // ours, and the planner has not said yet
 	default:
 		end = max(from, c.now) + secs(j.spec.EstimateS+j.spec.ImageGB*c.slowest())
--- a/internal/core/form.go
+++ b/internal/core/form.go
@@ -18,7 +18,7 @@
 	Version string `json:"v,omitzero"`
 }
 
-func (c *Core) noteSchema(node string, form int) { c.forms[node] = max(c.forms[node], form) }
+func (c *Core) noteSchema(node string, form int) { c.schemas[node] = max(c.schemas[node], form) }
 
 // reads tells whether a controller reads our form. One that says that it does
 // not, now, is believed: it was put back.
@@ -26,7 +26,7 @@
 	if h := c.heartbeats[node]; h != nil && h.form < SchemaVersion && c.now < h.at+5*Second {
 		return false
 	}
-	return node == c.set.Node || c.forms[node] >= SchemaVersion
+	return node == c.set.Node || c.schemas[node] >= SchemaVersion
 }
 
 // allRead tells whether all controllers read our form.
@@ -45,14 +45,14 @@
 	if !c.synced {
 		return
 	}
-	if all := c.allRead(); all != c.formed {
-		c.formed = all
+	if all := c.allRead(); all != c.schemaAgreed {
+		c.schemaAgreed = all
 		c.info("all controllers have this version's form", "form", SchemaVersion, "all", all)
 	}
-	if c.forms[c.set.Node] >= SchemaVersion || c.now < c.formAt {
+	if c.schemas[c.set.Node] >= SchemaVersion || c.now < c.schemaAt {
 		return
 	}
-	c.formAt = c.now + 5*Second
+	c.schemaAt = c.now + 5*Second
 	key, rec := schemaKey+c.set.Node, mustJSON(schemaRecord{SchemaVersion, Version})
 	c.spend(1)
 	c.callStore(StoreCall{Op: OpTxn, Txn: &wire.Txn{If: []wire.Guard{{Key: key}}, Then: []wire.Write{{Put: key, Value: rec}}}}, func(r *StoreReply) {
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -21,12 +21,12 @@
 		return
 	}
 	c.heartbeatAt = c.now + Second
-	able := c.synced && !c.cutOff && c.now >= c.stepBack && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
+	able := c.synced && !c.cutOff && c.now >= c.noTakeoverBefore && (c.storeBad == 0 || c.now < c.storeBad+Second) && c.lease != 0
 	if w := &c.writes; c.now >= w.toldAt+Second {
 		w.rate = (w.rate + (w.sum-w.told)*float64(Second)/float64(c.now-w.toldAt)) / 2
 		w.told, w.toldAt = w.sum, c.now
 	}
-	c.emit(Tell{&peer.Heartbeat{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.pendingNotices(), Form: SchemaVersion}})
+	c.emit(Broadcast{&peer.Heartbeat{Writes: max(0.01, c.writes.rate), Node: c.set.Node, StoreOK: able, Idle: c.idle(), Asks: c.asks, Cancelled: c.pendingNotices(), Form: SchemaVersion}})
 }
 
 // cancellationNotice is a cancellation that we confirmed to its user.
@@ -44,16 +44,16 @@
 )
 
 func (c *Core) notifyCancelled(id string) {
-	if len(c.tolds) < maxTold {
-		c.tolds = append(c.tolds, cancellationNotice{id, c.now})
+	if len(c.notices) < maxTold {
+		c.notices = append(c.notices, cancellationNotice{id, c.now})
 	}
 	c.heartbeatAt = min(c.heartbeatAt, c.now)
 }
 
 func (c *Core) pendingNotices() []string {
-	c.tolds = slices.DeleteFunc(c.tolds, func(t cancellationNotice) bool { return c.now > t.at+tellFor })
+	c.notices = slices.DeleteFunc(c.notices, func(t cancellationNotice) bool { return c.now > t.at+tellFor })
 	var ids []string
-	for _, t := range c.tolds {
+	for _, t := range c.notices {
 		ids = append(ids, t.id)
 	}
 	return ids
@@ -76,7 +76,7 @@
 	for _, id := range h.Cancelled {
 		if j := c.jobs[id]; j != nil && !j.over && !j.mustNotRun() {
 			c.info("cancelled, says another controller", "job", id, "by", h.Node)
-			j.told = true
+			j.noticed = true
 			c.stopJob(j)
 		}
 	}
--- a/internal/core/isolation.go
+++ b/internal/core/isolation.go
@@ -11,7 +11,7 @@
 // which counted as heard, until the tasks on all of its own had run out of lease.
 func (c *Core) stepDown(up int) {
 	quiet := c.now
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		if p.held {
 			quiet = min(quiet, c.now-max(c.heardAt, p.tookAt))
 		}
@@ -27,11 +27,11 @@
 	if c.unreached == 0 {
 		c.unreached = c.now
 	}
-	if c.now < c.unreached+2*Second || !c.othersAble() || c.now < c.stepBack {
+	if c.now < c.unreached+2*Second || !c.othersAble() || c.now < c.noTakeoverBefore {
 		return
 	}
-	c.unreached, c.stepBack, c.cutOff = 0, c.now+20*Second, true
-	for _, p := range c.parts {
+	c.unreached, c.noTakeoverBefore, c.cutOff = 0, c.now+20*Second, true
+	for _, p := range c.partitions {
 		if p.held {
 			c.resignPartition(p, "no worker reaches this controller")
 		}
@@ -53,7 +53,7 @@
 			continue
 		}
 		// Token 0 has nothing done.
-		c.emit(Push{Machine: m.name, Addr: m.addr, Body: wire.Push{Session: max(1, m.session), Commands: []wire.Command{}}})
+		c.emit(SendCommands{Machine: m.name, Addr: m.addr, Body: wire.CommandRequest{Session: max(1, m.session), Commands: []wire.Command{}}})
 		if sent++; sent == 3 {
 			c.probed += i + 1
 			break
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -35,7 +35,7 @@
 	logged  uint64   // the log entry that last held it; 0: none
 
 	// what is known since take-over only
-	shown    bool   // its machine has reported it
+	seen    bool   // its machine has reported it
 	reported string // state last reported
 	since    int64  // running since
 	placedAt int64
@@ -51,10 +51,10 @@
 	need      sched.Res
 	at        int64
 	cancelled bool  // its user or, doomed, that of a job that it needs did
-	told      bool  // another controller says that it told its user so
+	noticed      bool  // another controller says that it told its user so
 	haltedAt  int64 // since when, at the earliest, as far as we know
 	ver       uint64
-	part      int
+	partition      int
 	chunks    map[int][]task
 	nPlaced   int
 	nDone     int
@@ -62,10 +62,10 @@
 	over      bool // its final state is committed, the mirror not there yet
 
 	needs  []string // jobs that must be done first
-	open   int      // of those not done, or not known to be
+	openNeeds   int      // of those not done, or not known to be
 	unsure int      // of those over, it is not known how
 	needed int64    // when the last of them was done
-	doomed bool     // one of them is withdrawn
+	needWithdrawn bool     // one of them is withdrawn
 
 	endedAt int64 // when its final state was first due
 
@@ -77,9 +77,9 @@
 	spoiled  bool // a task of this attempt of the gang has exited
 	holdOff  int64
 	backOff  int64
-	// promisedAt is since when machines are promised to it; unpromised, until
+	// reservedAt is since when machines are promised to it; unpromised, until
 	// when none are any more, for it did not begin.
-	promisedAt, unpromised int64
+	reservedAt, unpromised int64
 	zones                  map[string]int
 }
 
@@ -103,9 +103,9 @@
 // stopJob has a job's machines told at once that it must not run any more.
 func (c *Core) stopJob(j *job) {
 	if j.haltedAt == 0 {
-		j.haltedAt = c.knownAt
+		j.haltedAt = c.replicaAt
 	}
-	if j.nPlaced == 0 || !c.parts[j.part].held {
+	if j.nPlaced == 0 || !c.partitions[j.partition].held {
 		return
 	}
 	for _, k := range j.chunkList() {
@@ -150,7 +150,7 @@
 
 // mark has a job looked at for what is to be committed.
 func (c *Core) mark(j *job) {
-	if p := c.parts[j.part]; p.held && c.jobs[j.id] == j && !j.over {
+	if p := c.partitions[j.partition]; p.held && c.jobs[j.id] == j && !j.over {
 		p.dirty[j.id] = true
 	}
 }
@@ -222,13 +222,13 @@
 	m.used = m.used.Add(j.need, int64(by))
 	j.zones[m.rec.Zone] += by
 	id := taskID{j.id, n}
-	at, found := slices.BinarySearchFunc(m.on, id, taskID.compare)
+	at, found := slices.BinarySearchFunc(m.tasksOn, id, taskID.compare)
 	switch {
 	case by > 0 && !found:
-		m.on = slices.Insert(m.on, at, id)
+		m.tasksOn = slices.Insert(m.tasksOn, at, id)
 	case by < 0 && found:
-		m.on = slices.Delete(m.on, at, at+1)
-		if len(m.on) == 0 {
+		m.tasksOn = slices.Delete(m.tasksOn, at, at+1)
+		if len(m.tasksOn) == 0 {
 			m.idleAt = c.now
 		}
 	}
--- a/internal/core/lending.go
+++ b/internal/core/lending.go
@@ -42,7 +42,7 @@
 	p.spare = ""
 	if best != nil {
 		p.spare = best.name
-		c.info("spare machine asked for", "for", first.id, "machine", best.name, "part", best.rec.Cur, "tasks", len(best.on))
+		c.info("spare machine asked for", "for", first.id, "machine", best.name, "part", best.rec.Cur, "tasks", len(best.tasksOn))
 	}
 	return best
 }
@@ -88,7 +88,7 @@
 
 func (c *Core) lendable(m *machine) bool {
 	return c.heldPartition(m) != nil && m.ready && c.reservedFor(m) < 0 && c.emptied(m) && m.allEnded() && !m.busy() && !m.rec.Gone && !m.faulty &&
-		m.notice == 0 && !c.claimed(m) && m.deaf == 0 && c.now < m.seenAt+c.lately()
+		m.notice == 0 && !c.claimed(m) && m.ignoringSince == 0 && c.now < m.seenAt+c.lately()
 }
 
 // idleAbroad tells whether a machine of another part may be borrowed.
@@ -108,7 +108,7 @@
 // claimed tells whether a job of the machine's own part has a claim on it.
 func (c *Core) claimed(m *machine) bool {
 	j := c.jobs[m.claim]
-	return j != nil && j.part == m.rec.Cur
+	return j != nil && j.partition == m.rec.Cur
 }
 
 // mayEmpty tells whether PROTOCOL's preemption permits stopping all of a
@@ -137,7 +137,7 @@
 func (c *Core) handleAsks(asks []peer.Ask) {
 	for _, a := range asks {
 		m := c.machines[a.Machine]
-		if m == nil || c.heldPartition(m) == nil || m.rec.Cur == a.Part || a.Part < 0 || a.Part >= len(c.parts) {
+		if m == nil || c.heldPartition(m) == nil || m.rec.Cur == a.Part || a.Part < 0 || a.Part >= len(c.partitions) {
 			continue
 		}
 		if c.lendable(m) {
@@ -160,20 +160,20 @@
 func (c *Core) yield(m *machine, a peer.Ask) {
 	switch {
 	case a.Spare:
-		c.info("spare machine is given once it is empty", "machine", m.name, "to", a.Part, "tasks", len(m.on))
+		c.info("spare machine is given once it is empty", "machine", m.name, "to", a.Part, "tasks", len(m.tasksOn))
 		m.moveTo, m.evict = a.Part, false
 	case a.Reclaim && m.rec.Home == a.Part:
 		c.info("lent machine reclaimed", "machine", m.name, "home", a.Part)
 		m.moveTo, m.evict = a.Part, false
 	case a.Tier > 0 && c.mayEmpty(m, a):
-		c.info("machine yielded", "machine", m.name, "to", a.Part, "tasks", len(m.on), "tier", a.Tier, "guaranteed", a.Guaranteed)
+		c.info("machine yielded", "machine", m.name, "to", a.Part, "tasks", len(m.tasksOn), "tier", a.Tier, "guaranteed", a.Guaranteed)
 		m.moveTo, m.evict = a.Part, true
 	}
 }
 
 // lend moves an empty machine to another part.
 func (c *Core) lend(m *machine, to int) {
-	if m.busy() || m.rec.Gone || !c.emptied(m) || to == m.rec.Cur || to < 0 || to >= len(c.parts) {
+	if m.busy() || m.rec.Gone || !c.emptied(m) || to == m.rec.Cur || to < 0 || to >= len(c.partitions) {
 		return
 	}
 	c.info("machine lent", "machine", m.name, "from", m.rec.Cur, "to", to, "home", m.rec.Home)
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -29,7 +29,7 @@
 	from origin
 	typ  *wire.MachineType
 	used sched.Res
-	on   []taskID        // recorded here, in order
+	tasksOn   []taskID        // recorded here, in order
 	left map[string]bool // jobs whose tasks left, perhaps not committed yet
 
 	op   machineOp // change of its record that waits or is being committed
@@ -47,8 +47,8 @@
 	deadAt   int64 // by then its lease has run out unless we answer again
 	pushAt   int64
 	pushing  bool
-	told     []wire.Command // by the last answer to a report
-	deaf     int64          // since when it needs to be told the same again; 0: it obeys
+	lastCommands     []wire.Command // by the last answer to a report
+	ignoringSince     int64          // since when it needs to be told the same again; 0: it obeys
 	notice   int64          // taken at about this time; 0: no notice
 	idleAt   int64
 	images   []image
@@ -59,7 +59,7 @@
 	reported []wire.TaskReport
 	// startedBy is the highest token of a direct start sent there by us.
 	startedBy uint64
-	doubt     bool // a direct start had no answer: its token must be outdone
+	startUnknown     bool // a direct start had no answer: its token must be outdone
 	moveTo    int  // part that is to get it once it is empty; -1: none
 	evict     bool // its tasks are stopped for the move
 	claimG    bool // the claim is by a guarantee
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -10,14 +10,14 @@
 
 // tokenOf is what a machine's worker must obey: the later of the part's
 // take-over and the record's floor. Revisions only rise.
-func (c *Core) tokenOf(m *machine) uint64 { return max(c.parts[m.rec.Cur].ver, m.rec.Token) }
+func (c *Core) tokenOf(m *machine) uint64 { return max(c.partitions[m.rec.Cur].ver, m.rec.Token) }
 
 // heldPartition gives a machine's part if we hold it.
 func (c *Core) heldPartition(m *machine) *partition {
-	if m.rec.Cur < 0 || m.rec.Cur >= len(c.parts) || !c.parts[m.rec.Cur].held {
+	if m.rec.Cur < 0 || m.rec.Cur >= len(c.partitions) || !c.partitions[m.rec.Cur].held {
 		return nil
 	}
-	return c.parts[m.rec.Cur]
+	return c.partitions[m.rec.Cur]
 }
 
 // reportsMissing tells whether a machine answers direct commands while its reports have
@@ -33,7 +33,7 @@
 }
 
 func (m *machine) tasks() []taskID {
-	return slices.Clone(m.on)
+	return slices.Clone(m.tasksOn)
 }
 
 // fetched notes an image in the machine's cache, the latest used last.
@@ -110,8 +110,8 @@
 // keepMachine looks after one machine of ours. cut: most machines are silent, so
 // that silence says nothing of a single one.
 func (c *Core) keepMachine(m *machine, cut bool) {
-	if c.now > m.deadAt && len(m.on) > 0 {
-		c.info("machine's lease ran out", "machine", m.name, "tasks", len(m.on))
+	if c.now > m.deadAt && len(m.tasksOn) > 0 {
+		c.info("machine's lease ran out", "machine", m.name, "tasks", len(m.tasksOn))
 		c.clearMachine(m, "its lease ran out")
 	}
 	if m.rec.Gone {
@@ -143,8 +143,8 @@
 	if m.from.part != m.rec.Cur && !m.busy() {
 		c.changeRecord(m, opCopyRecord)
 	}
-	if m.doubt && !m.busy() {
-		m.doubt = false
+	if m.startUnknown && !m.busy() {
+		m.startUnknown = false
 		c.changeRecord(m, opRaiseToken)
 	}
 }
@@ -160,11 +160,11 @@
 	switch overdue := waited && c.overdue(m); {
 	case overdue && c.now > m.bornAt+secs(boot*3+20):
 		return "never came up"
-	case overdue && !c.parts[m.rec.Cur].short:
+	case overdue && !c.partitions[m.rec.Cur].short:
 		return "overdue, and nothing waits for it"
 	case m.upAt > 0 && !cut && c.now > m.seenAt+c.silence():
 		return "silent"
-	case m.deaf > 0 && c.now > m.deaf+c.silence()+secs(c.set.Facts.Workers.ReportS):
+	case m.ignoringSince > 0 && c.now > m.ignoringSince+c.silence()+secs(c.set.Facts.Workers.ReportS):
 		return "does nothing that it is told"
 	}
 	return ""
@@ -186,7 +186,7 @@
 		c.keepReservation(m)
 	case m.moveTo >= 0:
 		c.keepMove(m)
-	case m.ready && len(m.on) == 0 && m.claim == "" && c.now > m.idleAt+secs(c.set.Ops.IdleReturnS) && c.now > m.bornAt+minAge:
+	case m.ready && len(m.tasksOn) == 0 && m.claim == "" && c.now > m.idleAt+secs(c.set.Ops.IdleReturnS) && c.now > m.bornAt+minAge:
 		c.remove(m, "idle")
 	}
 }
@@ -199,7 +199,7 @@
 			c.leave(j, t, "the machine will be taken")
 		}
 	}
-	if len(m.on) == 0 && m.allEnded() {
+	if len(m.tasksOn) == 0 && m.allEnded() {
 		c.remove(m, "drained")
 	}
 }
@@ -212,7 +212,7 @@
 			c.leave(j, t, "the machine goes to another part")
 		}
 	}
-	if len(m.on) == 0 && m.ready {
+	if len(m.tasksOn) == 0 && m.ready {
 		c.lend(m, m.moveTo)
 	}
 }
@@ -232,7 +232,7 @@
 // clearMachine takes in that all on a machine is gone.
 func (c *Core) clearMachine(m *machine, why string) {
 	for _, id := range m.tasks() {
-		if j := c.jobs[id.job]; j != nil && c.parts[j.part].held {
+		if j := c.jobs[id.job]; j != nil && c.partitions[j.partition].held {
 			c.taskGone(j, id.n, why)
 		}
 	}
@@ -244,7 +244,7 @@
 	if m.busy() || m.rec.Gone {
 		return
 	}
-	c.info("machine returned", "machine", m.name, "type", m.rec.Type, "why", why, "tasks", len(m.on), "age_s", (c.now-m.bornAt)/Second)
+	c.info("machine returned", "machine", m.name, "type", m.rec.Type, "why", why, "tasks", len(m.tasksOn), "age_s", (c.now-m.bornAt)/Second)
 	c.changeRecord(m, opDelete)
 }
 
@@ -254,7 +254,7 @@
 // whose tasks left is looked at: stopping at the first that is not committed left
 // it to the order of a map which were still looked at later (random day 1026).
 func (c *Core) emptied(m *machine) bool {
-	if len(m.on) > 0 {
+	if len(m.tasksOn) > 0 {
 		return false
 	}
 	for id := range m.left {
@@ -268,14 +268,14 @@
 // noteDeleted remembers a machine whose record was deleted, so that lagging lists
 // do not bring it back.
 func (c *Core) noteDeleted(name string) {
-	if len(c.graves) > 2000 {
-		for n, at := range c.graves {
+	if len(c.deletedAt) > 2000 {
+		for n, at := range c.deletedAt {
 			if c.now > at+120*Second {
-				delete(c.graves, n)
+				delete(c.deletedAt, n)
 			}
 		}
 	}
-	c.graves[name] = c.now
+	c.deletedAt[name] = c.now
 }
 
 // recordMachines has machines recorded that were rented or have strayed in.
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -100,8 +100,8 @@
 
 // review works out anew whether a job must wait, and whether it is withdrawn.
 func (c *Core) review(j *job) {
-	had := j.open
-	j.open, j.unsure, j.needed = 0, 0, 0
+	had := j.openNeeds
+	j.openNeeds, j.unsure, j.needed = 0, 0, 0
 	for _, id := range j.needs {
 		switch n := c.needs[id]; n.outcome {
 		case outcomeDone:
@@ -110,15 +110,15 @@
 		case unsure:
 			j.unsure++
 		case outcomeWithdrawn:
-			j.doomed = true
+			j.needWithdrawn = true
 		}
-		j.open++
+		j.openNeeds++
 	}
-	if had > 0 && j.open == 0 {
+	if had > 0 && j.openNeeds == 0 {
 		c.debug("all that the job needs is done", "job", j.id, "after_s", (c.now-j.at)/Second)
 		c.planWithin(0)
 	}
-	if j.doomed && !j.cancelled {
+	if j.needWithdrawn && !j.cancelled {
 		j.cancelled = true
 		c.debug("job withdrawn with one that it needs", "job", j.id)
 		c.mark(j)
@@ -154,7 +154,7 @@
 	if !c.synced || c.now < c.unsureAt {
 		return
 	}
-	for len(c.outcomeUnknown) > 0 && c.asking < maxReads/2 {
+	for len(c.outcomeUnknown) > 0 && c.needReads < maxReads/2 {
 		id := c.outcomeUnknown[0]
 		c.outcomeUnknown = c.outcomeUnknown[1:]
 		if n := c.needs[id]; n == nil || n.outcome != unsure {
@@ -178,9 +178,9 @@
 // readNeed is readFinal for a need, of which so many are read at a time; what
 // users ask of jobs that are over does not count.
 func (c *Core) readNeed(id string, f func(found)) {
-	c.asking++
+	c.needReads++
 	c.readFinal(id, func(found found) {
-		c.asking--
+		c.needReads--
 		f(found)
 	})
 }
@@ -222,7 +222,7 @@
 			f(c.judgeNeeds(spec))
 			return
 		}
-		most := max(0, maxReads-c.asking)
+		most := max(0, maxReads-c.needReads)
 		if most == 0 {
 			f(503, "too many submissions that name others at a time")
 			return
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -40,13 +40,13 @@
 // answerDeadline is how long a holder still answers reports after the last moment of
 // which its mirror shows all: a task that is kept alive by an answer given then,
 // though its job was cancelled elsewhere, is gone within cancel_s all the same.
-func (c *Core) answerDeadline() int64 { return min(secs(c.set.Facts.Horizon()), 40*Second) }
+func (c *Core) answerDeadline() int64 { return min(secs(c.set.Facts.AnswerDeadline()), 40*Second) }
 
 // replicaCertainAt is from when the horizon counts: the last moment at which we were
 // known to hold our lease and the mirror to be complete. A renewal alone does not
 // move it: one once succeeded while the watch still hung after a refusal, and a
 // cancellation told elsewhere in between outlived cancel_s in the outage after it.
-func (c *Core) replicaCertainAt() int64 { return min(c.leasedAt, c.knownAt) }
+func (c *Core) replicaCertainAt() int64 { return min(c.leasedAt, c.replicaAt) }
 
 // startAge is how old the mirror may be when a task is started: a cancellation
 // told elsewhere since is not in it.
@@ -55,7 +55,7 @@
 // starts tells whether tasks may be started: a holder that lost the state
 // service goes on with what runs and starts nothing more.
 func (c *Core) starts() bool {
-	return c.leaseValid() && c.now < c.knownAt+startAge
+	return c.leaseValid() && c.now < c.replicaAt+startAge
 }
 
 // leaseBound is how long after a take-over a worker that the holder before
@@ -95,9 +95,9 @@
 	}
 	c.renewing = true
 	sent := c.now
-	call := StoreCall{Op: OpExtend, Lease: c.lease, Urgent: true}
+	call := StoreCall{Op: OpRenewLease, Lease: c.lease, Urgent: true}
 	if c.lease == 0 {
-		call = StoreCall{Op: OpHold, TTLMs: c.ttl() / 1000, Urgent: true}
+		call = StoreCall{Op: OpGrantLease, TTLMs: c.ttl() / 1000, Urgent: true}
 	}
 	c.callStore(call, func(r *StoreReply) {
 		c.renewing = false
@@ -112,7 +112,7 @@
 			c.info("lease lost", "lease", c.lease)
 			c.lease, c.leasedAt = 0, 0
 			c.renewAt = c.now
-			for _, p := range c.parts {
+			for _, p := range c.partitions {
 				if p.held {
 					c.losePartition(p, "our lease ended")
 				}
@@ -144,7 +144,7 @@
 			}
 		}
 		for id, j := range c.jobs {
-			if j.part == p.idx {
+			if j.partition == p.idx {
 				p.dirty[id] = true
 			}
 		}
@@ -162,12 +162,12 @@
 	m.idleAt = c.now
 	// Started anew perhaps, by that holder, in a session that we know nothing of:
 	// taken for seen by us they were proven gone by that session (random days).
-	for _, id := range m.on {
+	for _, id := range m.tasksOn {
 		t := c.jobs[id.job].task(id.n)
-		t.shown, t.reported = false, ""
+		t.seen, t.reported = false, ""
 	}
 	m.delSent, m.delOK = false, false
-	m.told, m.deaf = nil, 0
+	m.lastCommands, m.ignoringSince = nil, 0
 	m.op, m.moveTo = opNone, -1
 }
 
@@ -190,7 +190,7 @@
 		n.then()
 	}
 	for _, id := range sorted(c.jobs) {
-		if j := c.jobs[id]; j.part == p.idx {
+		if j := c.jobs[id]; j.partition == p.idx {
 			c.revert(j)
 		}
 	}
@@ -206,11 +206,11 @@
 	if !c.synced {
 		return
 	}
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		switch {
 		case p.held:
 			c.handBack(p)
-		case p.taking || c.lease == 0 || c.now >= c.leasedAt+c.ttl()/2 || c.now < c.stepBack || c.cutOff && c.othersAble():
+		case p.taking || c.lease == 0 || c.now >= c.leasedAt+c.ttl()/2 || c.now < c.noTakeoverBefore || c.cutOff && c.othersAble():
 		case p.ver > 0 && p.rec.Node == c.set.Node:
 			c.takePartition(p) // of an earlier process of ours
 		case p.ver == 0 && c.now >= p.freeAt+int64(c.takeoverRank(p, c.set.Node))*3*Second/2:
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -31,7 +31,7 @@
 	}
 	c.urgencies()
 	c.reserveAhead()
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		if p.held {
 			c.plan(p)
 		}
--- a/internal/core/promise.go
+++ b/internal/core/promise.go
@@ -9,22 +9,22 @@
 // nothing runs though a quarter of begin_within_s is over. Until half of it is,
 // only for those that can't have their machines sooner by stopping others.
 func (c *Core) reserveAhead() {
-	c.promised = map[string]sched.Promised{}
+	c.reserved = map[string]sched.AdvanceReservation{}
 	due := c.dueGangs()
 	if due == nil {
 		return
 	}
-	c.promised = sched.Promise(c.now, c.now-secs(c.set.Ops.BeginWithinS/2), c.reservableMachines(), due)
+	c.reserved = sched.ReserveAhead(c.now, c.now-secs(c.set.Ops.BeginWithinS/2), c.reservableMachines(), due)
 	kept := map[string]bool{}
-	for _, pr := range c.promised {
+	for _, pr := range c.reserved {
 		kept[pr.Job.ID] = true
-		if j := c.jobs[pr.Job.ID]; j.promisedAt == 0 {
-			j.promisedAt = c.now
+		if j := c.jobs[pr.Job.ID]; j.reservedAt == 0 {
+			j.reservedAt = c.now
 		}
 	}
 	for _, sj := range due {
 		if !kept[sj.ID] {
-			c.jobs[sj.ID].promisedAt = 0
+			c.jobs[sj.ID].reservedAt = 0
 		}
 	}
 }
@@ -37,10 +37,10 @@
 		if !c.waitsLong(j) {
 			continue
 		}
-		if j.promisedAt > 0 && c.now > j.promisedAt+secs(c.set.Ops.BeginWithinS) {
+		if j.reservedAt > 0 && c.now > j.reservedAt+secs(c.set.Ops.BeginWithinS) {
 			// Something that we do not know keeps it: others' turn for as long,
 			// else machines would be held for it without end.
-			j.promisedAt, j.unpromised = 0, c.now+secs(c.set.Ops.BeginWithinS)
+			j.reservedAt, j.unpromised = 0, c.now+secs(c.set.Ops.BeginWithinS)
 		}
 		if c.now < j.unpromised {
 			continue
@@ -55,10 +55,10 @@
 // waitsLong tells whether a gang could run, and has waited for a quarter of the
 // time within which it should have begun.
 func (c *Core) waitsLong(j *job) bool {
-	if j.spec.Kind != wire.Gang || j.over || j.mustNotRun() || j.open > 0 || j.begun() {
+	if j.spec.Kind != wire.Gang || j.over || j.mustNotRun() || j.openNeeds > 0 || j.begun() {
 		return false
 	}
-	if c.deprioritized(j) || c.now < j.holdOff || c.parts[j.part].ver == 0 {
+	if c.deprioritized(j) || c.now < j.holdOff || c.partitions[j.partition].ver == 0 {
 		return false
 	}
 	return c.now >= j.from()+secs(c.set.Ops.BeginWithinS/4)
@@ -68,12 +68,12 @@
 func (c *Core) reservableMachines() []*sched.Machine {
 	var list []*sched.Machine
 	for _, m := range c.order {
-		if m.typ == nil || m.rec.Gone || m.faulty || m.notice > 0 || m.deaf > 0 || c.heldPartition(m) != nil && c.overdue(m) {
+		if m.typ == nil || m.rec.Gone || m.faulty || m.notice > 0 || m.ignoringSince > 0 || c.heldPartition(m) != nil && c.overdue(m) {
 			continue
 		}
 		sm := c.machineView(m)
 		// Whether another's machine is up is not in the mirror: by its age.
-		sm.Usable = m.upAt > 0 || c.heldPartition(m) == nil && (len(m.on) > 0 || c.now > m.bornAt+secs(1.5*m.typ.BootS))
+		sm.Usable = m.upAt > 0 || c.heldPartition(m) == nil && (len(m.tasksOn) > 0 || c.now > m.bornAt+secs(1.5*m.typ.BootS))
 		sm.ReadyAt = max(c.now, m.bornAt+secs(m.typ.BootS))
 		c.uses(sm, m, nil)
 		list = append(list, sm)
@@ -83,9 +83,9 @@
 
 // reservedFor is the part whose gang a machine is kept for; -1: none.
 func (c *Core) reservedFor(m *machine) int {
-	if pr, ok := c.promised[m.name]; ok {
+	if pr, ok := c.reserved[m.name]; ok {
 		if j := c.jobs[pr.Job.ID]; j != nil && j.nPlaced+j.nDone == 0 && !j.cancelled && !j.over {
-			return j.part
+			return j.partition
 		}
 	}
 	return -1
@@ -95,9 +95,9 @@
 // runs is of a lower tier and the gang's other machines are about ready, and
 // lends it to the gang's part.
 func (c *Core) keepReservation(m *machine) {
-	pr := c.promised[m.name]
+	pr := c.reserved[m.name]
 	to := c.reservedFor(m)
-	if len(m.on) == 0 {
+	if len(m.tasksOn) == 0 {
 		// Not at once again where two controllers see it differently.
 		if to != m.rec.Cur && m.ready && c.now > m.waitFrom+4*Second {
 			c.lend(m, to)
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -19,24 +19,24 @@
 	if !c.synced {
 		// Who waits for a read is told at once that there is none: reading
 		// everything again may take as long as an outage lasts.
-		waiting := c.fresh
-		c.fresh = nil
+		waiting := c.waitingReads
+		c.waitingReads = nil
 		for _, f := range waiting {
 			f(false)
 		}
-		if c.relist == nil && c.now >= c.followAt {
+		if c.relist == nil && c.now >= c.watchAt {
 			c.relist = &relisting{}
 			c.listPage("")
 		}
 		return
 	}
-	if len(c.fresh) > 0 && !c.reading && c.now >= c.readAt {
+	if len(c.waitingReads) > 0 && !c.reading && c.now >= c.readAt {
 		c.reading = true
-		waiting := c.fresh
-		c.fresh = nil
+		waiting := c.waitingReads
+		c.waitingReads = nil
 		c.readAt = c.now + c.readGap()
 		began := c.now
-		c.callStore(StoreCall{Op: OpFollow, Since: c.rev, Urgent: true}, func(r *StoreReply) {
+		c.callStore(StoreCall{Op: OpWatch, Since: c.rev, Urgent: true}, func(r *StoreReply) {
 			c.reading = false
 			// An answer held back by the network says how things were: its
 			// asker may have been told of a cancellation elsewhere since.
@@ -46,14 +46,14 @@
 			}
 		})
 	}
-	if !c.follows && c.now >= c.followAt {
-		c.follows = true
+	if !c.watching && c.now >= c.watchAt {
+		c.watching = true
 		began := c.now
-		c.callStore(StoreCall{Op: OpFollow, Since: c.rev, WaitMs: int(c.watchFor() / 1000)}, func(r *StoreReply) {
-			c.follows = false
-			c.followAt = c.now + 2*c.readGap()
+		c.callStore(StoreCall{Op: OpWatch, Since: c.rev, WaitMs: int(c.watchFor() / 1000)}, func(r *StoreReply) {
+			c.watching = false
+			c.watchAt = c.now + 2*c.readGap()
 			if !c.followed(r, began) && c.synced {
-				c.followAt = c.now + c.jitter(Second/2)
+				c.watchAt = c.now + c.jitter(Second/2)
 			}
 		})
 	}
@@ -78,7 +78,7 @@
 		f(false)
 		return
 	}
-	c.fresh = append(c.fresh, f)
+	c.waitingReads = append(c.waitingReads, f)
 }
 
 // listPage reads all keys, page by page, and then the changes since the
@@ -87,7 +87,7 @@
 	l := c.relist
 	fail := func() {
 		c.relist = nil
-		c.followAt = c.now + c.jitter(Second/2)
+		c.watchAt = c.now + c.jitter(Second/2)
 	}
 	c.callStore(StoreCall{Op: OpList, Key: after}, func(r *StoreReply) {
 		if r.Status != 200 {
@@ -103,7 +103,7 @@
 			return
 		}
 		began := c.now
-		c.callStore(StoreCall{Op: OpFollow, Since: l.rev, Urgent: true}, func(r *StoreReply) {
+		c.callStore(StoreCall{Op: OpWatch, Since: l.rev, Urgent: true}, func(r *StoreReply) {
 			if r.Status != 200 {
 				fail()
 				return
@@ -129,7 +129,7 @@
 
 // reset forgets the mirror, and with it all that was not committed.
 func (c *Core) reset() {
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		if p.held {
 			c.losePartition(p, "everything is read again")
 			// Under a term of its own then: a copy of a flush that we forget
@@ -143,7 +143,7 @@
 	clear(c.jobs)
 	clear(c.needs)
 	c.outcomeUnknown = nil
-	clear(c.tombs)
+	clear(c.tombstones)
 	clear(c.rows)
 	c.order = nil
 	for _, u := range c.usage {
@@ -174,6 +174,6 @@
 		}
 	}
 	c.rev = max(c.rev, r.Follow.Revision)
-	c.knownAt = max(c.knownAt, began)
+	c.replicaAt = max(c.replicaAt, began)
 	return true
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -8,7 +8,7 @@
 
 // report answers a worker. Only the holder of the machine's part, within its
 // horizon, answers 200: that keeps the worker's tasks alive.
-func (c *Core) report(v ReportIn) {
+func (c *Core) report(v ReportReceived) {
 	r := v.Report
 	c.heardAt = c.now
 	if !c.synced {
@@ -39,7 +39,7 @@
 	m.reportAt = c.now
 	commands := c.applyReport(m, r, true)
 	m.deadAt = max(m.deadAt, c.now+c.leaseS()+Second/2)
-	c.answer(v.Req, 200, wire.Orders{Token: c.tokenOf(m), Commands: commands})
+	c.answer(v.Req, 200, wire.ReportResponse{Token: c.tokenOf(m), Commands: commands})
 }
 
 // holderElsewhere names the other controller that holds a machine's part; "" if
@@ -47,11 +47,11 @@
 // had lost it sent workers to each other, by what each knew last, until the leases
 // of seven hundred machines had run out.
 func (c *Core) holderElsewhere(m *machine) string {
-	known := m.rec.Cur >= 0 && m.rec.Cur < len(c.parts) && c.parts[m.rec.Cur].ver > 0
+	known := m.rec.Cur >= 0 && m.rec.Cur < len(c.partitions) && c.partitions[m.rec.Cur].ver > 0
 	if !known || c.heldPartition(m) != nil || !c.leaseValid() {
 		return ""
 	}
-	if node := c.parts[m.rec.Cur].rec.Node; node != c.set.Node {
+	if node := c.partitions[m.rec.Cur].rec.Node; node != c.set.Node {
 		return node
 	}
 	return ""
@@ -78,9 +78,9 @@
 // ruled out by a higher token, for that needs the state service. Everything else
 // that must stop is told with each answer that renews the lease.
 func (c *Core) mustExpire(m *machine) bool {
-	for _, id := range m.on {
+	for _, id := range m.tasksOn {
 		j := c.jobs[id.job]
-		if t := j.task(id.n); j.mustNotRun() && !t.shown && t.pushed >= c.tokenOf(m) && t.pushed > 0 && c.now > j.haltedAt+c.answerDeadline() {
+		if t := j.task(id.n); j.mustNotRun() && !t.seen && t.pushed >= c.tokenOf(m) && t.pushed > 0 && c.now > j.haltedAt+c.answerDeadline() {
 			return true
 		}
 	}
@@ -92,7 +92,7 @@
 }
 
 // commandsAnswered takes in the answer to commands sent directly.
-func (c *Core) commandsAnswered(v Pushed) {
+func (c *Core) commandsAnswered(v CommandsAnswered) {
 	if v.Status != 0 {
 		c.heardAt, c.cutOff = c.now, false
 	}
@@ -128,11 +128,11 @@
 
 // settleStarts takes in what an answer, or its absence, says of the direct starts
 // that were sent with it.
-func (c *Core) settleStarts(m *machine, v Pushed) {
+func (c *Core) settleStarts(m *machine, v CommandsAnswered) {
 	if v.Status == 0 && v.Starts && !v.Unsent {
 		// The start may be carried out minutes late. A higher token, once
 		// the worker has seen it, makes that impossible.
-		m.doubt = true
+		m.startUnknown = true
 	}
 	if v.Status != 409 && !v.Unsent {
 		return
@@ -150,16 +150,16 @@
 	if cmds == nil {
 		cmds = []wire.Command{}
 	}
-	c.emit(Push{Machine: m.name, Addr: m.addr, Starts: slices.ContainsFunc(cmds, func(o wire.Command) bool { return o.Op == wire.Start }),
-		Body: wire.Push{Token: c.tokenOf(m), Session: max(1, m.session), Commands: cmds}})
+	c.emit(SendCommands{Machine: m.name, Addr: m.addr, Starts: slices.ContainsFunc(cmds, func(o wire.Command) bool { return o.Op == wire.Start }),
+		Body: wire.CommandRequest{Token: c.tokenOf(m), Session: max(1, m.session), Commands: cmds}})
 }
 
 // keepEnded is how many ended tasks a worker holds before its token rises so
 // that they can be forgotten.
 const keepEnded = 12
 
-// maxOrders keeps an answer's one line below 64 KiB.
-const maxOrders = 400
+// maxCommands keeps an answer's one line below 64 KiB.
+const maxCommands = 400
 
 // reportIntake is a worker's report while it is taken in, with the commands that bring
 // the worker to what is recorded.
@@ -207,7 +207,7 @@
 
 // command adds a command for the worker.
 func (in *reportIntake) command(op string, id taskID, attempt uint64, grace *float64) {
-	if len(in.commands) < maxOrders {
+	if len(in.commands) < maxCommands {
 		in.commands = append(in.commands, wire.Command{Op: op, Task: id.String(), Attempt: attempt, GraceS: grace})
 	}
 }
@@ -252,7 +252,7 @@
 	}
 	if r.NoticeS != nil && m.notice == 0 {
 		m.notice = c.now + secs(*r.NoticeS)
-		c.info("machine will be taken", "machine", m.name, "in_s", *r.NoticeS, "tasks", len(m.on))
+		c.info("machine will be taken", "machine", m.name, "in_s", *r.NoticeS, "tasks", len(m.tasksOn))
 		c.planWithin(0)
 	}
 }
@@ -271,7 +271,7 @@
 		}
 	}
 	if !in.forget && ended >= keepEnded && !in.m.busy() {
-		in.m.doubt = true
+		in.m.startUnknown = true
 	}
 }
 
@@ -289,7 +289,7 @@
 	switch {
 	case t == nil || t.state != placed || t.machine != in.m.name || t.attempt != tr.Attempt:
 		in.unrecorded(j, id, tr)
-	case j.part != in.m.rec.Cur:
+	case j.partition != in.m.rec.Cur:
 		// Only its own part's holder acts on a task.
 	default:
 		in.recorded(j, id, t, tr)
@@ -315,7 +315,7 @@
 func (in *reportIntake) recorded(j *job, id taskID, t *task, tr wire.TaskReport) {
 	c, m := in.Core, in.m
 	in.seen[id] = true
-	t.shown = true
+	t.seen = true
 	if tr.State == wire.Exited {
 		c.exited(j, id.n, t, m, tr)
 		return
@@ -343,10 +343,10 @@
 	j := c.jobs[id.job]
 	t := j.task(id.n)
 	switch {
-	case !in.viaReport || !j.durable(id.n) || j.part != in.m.rec.Cur:
-	case !t.shown && t.pushed >= r.Token && c.mustStop(j, t):
+	case !in.viaReport || !j.durable(id.n) || j.partition != in.m.rec.Cur:
+	case !t.seen && t.pushed >= r.Token && c.mustStop(j, t):
 		// A direct start may still come; it counts as here until then.
-	case t.shown || c.mustStop(j, t):
+	case t.seen || c.mustStop(j, t):
 		c.taskGone(j, id.n, "no longer reported")
 	case c.mayStart(in.m, j) && (t.pushed == 0 || t.pushed < r.Token):
 		// Not while a direct copy may come after this one was forgotten.
@@ -368,7 +368,7 @@
 		j := c.jobs[id.job]
 		t := j.task(id.n)
 		t.pushed = 0 // direct starts name the session
-		if t.shown && c.heldPartition(m) != nil && j.part == m.rec.Cur {
+		if t.seen && c.heldPartition(m) != nil && j.partition == m.rec.Cur {
 			c.taskGone(j, id.n, "its worker's session ended")
 		}
 	}
@@ -378,15 +378,15 @@
 // while answers and commands do not reach it needs to be told the same again.
 func (m *machine) noteRepeated(now int64, cmds []wire.Command) {
 	again := slices.ContainsFunc(cmds, func(o wire.Command) bool {
-		return o.Op != wire.Stop && slices.ContainsFunc(m.told, func(t wire.Command) bool {
+		return o.Op != wire.Stop && slices.ContainsFunc(m.lastCommands, func(t wire.Command) bool {
 			return t.Op == o.Op && t.Task == o.Task && t.Attempt == o.Attempt
 		})
 	})
 	switch {
 	case !again:
-		m.deaf = 0
-	case m.deaf == 0:
-		m.deaf = now
+		m.ignoringSince = 0
+	case m.ignoringSince == 0:
+		m.ignoringSince = now
 	}
-	m.told = cmds
+	m.lastCommands = cmds
 }
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -17,7 +17,7 @@
 		return
 	}
 	var parts []int
-	for _, p := range c.parts {
+	for _, p := range c.partitions {
 		if p.held {
 			parts = append(parts, p.idx)
 		}
@@ -45,11 +45,11 @@
 		}
 		if m.upAt > 0 {
 			up++
-			if len(m.on) == 0 {
+			if len(m.tasksOn) == 0 {
 				idle++
 			}
 		}
-		tasks += len(m.on)
+		tasks += len(m.tasksOn)
 	}
 	return up, idle, tasks
 }
@@ -58,8 +58,8 @@
 func (c *Core) countWaiting() (forRoom, forJobs int) {
 	for _, j := range c.jobs {
 		switch {
-		case !c.parts[j.part].held:
-		case j.open > 0:
+		case !c.partitions[j.partition].held:
+		case j.openNeeds > 0:
 			forJobs++
 		case j.nPlaced+j.nDone < j.spec.Tasks:
 			forRoom++
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -22,7 +22,7 @@
 	for _, ch := range j.chunks {
 		for i := range ch {
 			t := &ch[i]
-			if t.state == placed && (!t.shown || t.leaving > 0 || t.reported != wire.Fetching && t.reported != wire.Waiting) {
+			if t.state == placed && (!t.seen || t.leaving > 0 || t.reported != wire.Fetching && t.reported != wire.Waiting) {
 				return false
 			}
 		}
@@ -38,7 +38,7 @@
 
 // mustNotRun tells whether nothing of a job may run any more: it is cancelled, or
 // another controller says that it told its user so.
-func (j *job) mustNotRun() bool { return j.cancelled || j.told }
+func (j *job) mustNotRun() bool { return j.cancelled || j.noticed }
 
 func (c *Core) mustStop(j *job, t *task) bool { return j.mustNotRun() || t.leaving > 0 || j.broken() }
 
@@ -123,13 +123,13 @@
 	var cmds []wire.Command
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
-		if t := j.task(id.n); !t.shown && t.pushed == 0 && j.part == m.rec.Cur && !c.mustStop(j, t) && j.durable(id.n) && c.mayStart(m, j) && len(cmds) < maxOrders {
+		if t := j.task(id.n); !t.seen && t.pushed == 0 && j.partition == m.rec.Cur && !c.mustStop(j, t) && j.durable(id.n) && c.mayStart(m, j) && len(cmds) < maxCommands {
 			t.pushed = c.tokenOf(m)
 			m.startedBy = max(m.startedBy, t.pushed)
 			cmds = append(cmds, wire.Command{Op: wire.Start, Task: id.String(), Attempt: t.attempt})
 			continue
 		}
-		if t := j.task(id.n); t.shown && t.reported != wire.Saving && c.mustStop(j, t) && len(cmds) < maxOrders {
+		if t := j.task(id.n); t.seen && t.reported != wire.Saving && c.mustStop(j, t) && len(cmds) < maxCommands {
 			g := c.graceOf(j, t)
 			cmds = append(cmds, wire.Command{Op: wire.Stop, Task: id.String(), Attempt: t.attempt, GraceS: &g})
 		}
@@ -142,7 +142,7 @@
 func (c *Core) dropOrphans() {
 	for _, id := range sorted(c.jobs) {
 		j := c.jobs[id]
-		if !c.parts[j.part].held || j.nPlaced == 0 {
+		if !c.partitions[j.partition].held || j.nPlaced == 0 {
 			continue
 		}
 		for _, k := range j.chunkList() {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -229,7 +229,7 @@
 
 // impossible says why a job can never run.
 func (c *Core) impossible(j *wire.Job) string {
-	if _, ok := c.set.TeamPart[j.Team]; !ok {
+	if _, ok := c.set.TeamPartition[j.Team]; !ok {
 		return "unknown team"
 	}
 	need := sched.ResOf(j.CPUs, j.GPUs, j.MemoryGB)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -21,7 +21,7 @@
 
 // view shows a part to the planner.
 func (c *Core) view(p *partition) (*sched.View, map[string]*job) {
-	v := &viewer{Core: c, p: p, jobs: map[string]*job{}, shown: map[string]*sched.Job{}, price: make([]float64, len(c.parts)),
+	v := &viewer{Core: c, p: p, jobs: map[string]*job{}, shown: map[string]*sched.Job{}, price: make([]float64, len(c.partitions)),
 		view: &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops, Aims: map[string][]settings.Objective{}}}
 	v.addSettings()
 	v.addJobs()
@@ -60,7 +60,7 @@
 func (v *viewer) addJobs() {
 	for _, id := range sorted(v.Core.jobs) {
 		j := v.Core.jobs[id]
-		if j.part != v.p.idx || j.over || j.mustNotRun() || j.open > 0 {
+		if j.partition != v.p.idx || j.over || j.mustNotRun() || j.openNeeds > 0 {
 			continue
 		}
 		sj := v.Core.jobView(j)
@@ -77,11 +77,11 @@
 func (v *viewer) addMachine(m *machine) {
 	sm := v.machineView(m)
 	if to := v.reservedFor(m); to >= 0 {
-		pr := v.promised[m.name]
+		pr := v.reserved[m.name]
 		if sj := v.shown[pr.Job.ID]; sj != nil {
 			pr.Job = sj // the view's own
 		}
-		sm.Claim, sm.Promised = "", &pr
+		sm.Claim, sm.Reservation = "", &pr
 		if m.rec.Cur != v.p.idx {
 			if to == v.p.idx {
 				// It is being emptied for us.
@@ -118,7 +118,7 @@
 			sm.ReadyAt = max(sm.ReadyAt, u.End)
 		}
 		sm.Foreign, sm.Lent, sm.Fair = true, true, 2*v.price[v.p.idx] < v.price[m.rec.Cur]
-	case len(m.on) > 0:
+	case len(m.tasksOn) > 0:
 		sm.Foreign, sm.ReadyAt = true, v.now+5*Second
 		if m.claim != "" {
 			sm.Free = sm.Total // it is being emptied for us
@@ -138,7 +138,7 @@
 	for _, i := range m.images {
 		sm.Images = append(sm.Images, i.name)
 	}
-	heard := m.deaf == 0 && v.now < m.seenAt+v.lately() && !v.reportsMissing(m)
+	heard := m.ignoringSince == 0 && v.now < m.seenAt+v.lately() && !v.reportsMissing(m)
 	sm.Usable = m.ready && heard
 	switch {
 	case sm.Usable:
@@ -175,7 +175,7 @@
 // jobView shows a job to the planner.
 func (c *Core) jobView(j *job) *sched.Job {
 	sj := &sched.Job{ID: j.id, Spec: &j.spec, Need: j.need, Tier: c.tier(j), At: j.from(), Due: c.urgent[j.id].due, InZone: map[string]int{}, Avoid: j.avoid,
-		Deprior: c.deprioritized(j), Begun: j.begun()}
+		Deprioritized: c.deprioritized(j), Begun: j.begun()}
 	for z, n := range j.zones {
 		sj.InZone[z] = n
 	}
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return 0
 	}
-	return set.TeamPart[u.job.spec(0).Team]
+	return set.TeamPartition[u.job.spec(0).Team]
 }
 
 // spec gives a job as its user would submit it.
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -135,8 +135,8 @@
 	}
 }
 
-func (s *store) events(since uint64) wire.Follow {
-	f := wire.Follow{Revision: s.rev}
+func (s *store) events(since uint64) wire.WatchResponse {
+	f := wire.WatchResponse{Revision: s.rev}
 	for _, e := range s.log {
 		if e.Version > since && strings.HasPrefix(e.Put+e.Delete, core.Live) {
 			f.Events = append(f.Events, e)
@@ -181,17 +181,17 @@
 		s.get(v.Key, r)
 	case core.OpList:
 		s.list(v.Key, r)
-	case core.OpHold:
+	case core.OpGrantLease:
 		s.lease++
 		s.leases[s.lease] = &hold{v.TTLMs * second / 1000, s.w.now + v.TTLMs*second/1000}
 		r.Lease = s.lease
-	case core.OpExtend:
+	case core.OpRenewLease:
 		if h := s.leases[v.Lease]; h != nil {
 			h.end = s.w.now + h.ttl
 		} else {
 			r.Status = 404
 		}
-	case core.OpFollow:
+	case core.OpWatch:
 		if s.follow(n, v, r, reply) {
 			return
 		}
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -88,7 +88,7 @@
 	late := *r
 	deliver := func(n *node) {
 		if n.up && !n.cut["workers"] && !n.cut["all"] {
-			w.request(n, func(req uint64) any { return core.ReportIn{Req: req, Report: &late} }, func(core.Answer) {})
+			w.request(n, func(req uint64) any { return core.ReportReceived{Req: req, Report: &late} }, func(core.Answer) {})
 		}
 	}
 	if w.lateReports.kind == "for_next" {
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -9,8 +9,8 @@
 	"spurmoor/internal/wire"
 )
 
-// own is a job's tier without what was lent to it.
-func (j *Job) own() int { return wire.Tier(j.Spec.Priority) }
+// ownTier is a job's tier without what was lent to it.
+func (j *Job) ownTier() int { return wire.Tier(j.Spec.Priority) }
 
 // lentMay tells whether a priority that was lent to j may stop u: tasks of
 // arrays only, that run for a while. Gangs that a pipeline needed put out others
@@ -24,10 +24,10 @@
 	if u.Job == nil || u.Index < 0 {
 		return false
 	}
-	if u.Job.Tier < j.own() || j.lentMay(u) {
+	if u.Job.Tier < j.ownTier() || j.lentMay(u) {
 		return true
 	}
-	if u.Job.Tier > j.own() {
+	if u.Job.Tier > j.ownTier() {
 		return false // permitted within a guarantee, but it costs more than it serves
 	}
 	if u.New || u.Job.score > j.score {
@@ -89,7 +89,7 @@
 		if jobs >= evictJobs || machines >= evictMost {
 			break
 		}
-		if j.Deprior || !p.mayStopAny(j) || p.hasPromise(j) {
+		if j.Deprioritized || !p.mayStopAny(j) || p.hasReservation(j) {
 			continue
 		}
 		soon := p.roomAt(j, taken)
@@ -123,9 +123,9 @@
 	return soon
 }
 
-// hasPromise tells whether machines are kept for a job.
-func (p *planner) hasPromise(j *Job) bool {
-	return slices.ContainsFunc(p.Machines, func(m *Machine) bool { return m.Promised != nil && m.Promised.Job == j })
+// hasReservation tells whether machines are kept for a job.
+func (p *planner) hasReservation(j *Job) bool {
+	return slices.ContainsFunc(p.Machines, func(m *Machine) bool { return m.Reservation != nil && m.Reservation.Job == j })
 }
 
 // worthwhile tells whether a job gains more by emptying machines than is lost,
@@ -135,7 +135,7 @@
 	equal := false
 	for _, c := range set {
 		lost += c.lost
-		equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return u.Job.Tier >= j.own() })
+		equal = equal || slices.ContainsFunc(c.uses, func(u Use) bool { return u.Job.Tier >= j.ownTier() })
 	}
 	if !equal {
 		return true
@@ -144,7 +144,7 @@
 		return false // more work would be lost than wait saved
 	}
 	inTime := j.Due.S > 0 && soon < math.MaxInt64 && soon+int64(j.Spec.EstimateS*float64(Second)) <= j.Due.Latest()
-	return j.Tier <= j.own() || !inTime // what it was lent for may be in time all the same
+	return j.Tier <= j.ownTier() || !inTime // what it was lent for may be in time all the same
 }
 
 // mayStopAny tells whether PROTOCOL might permit stopping anything for j.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -64,10 +64,10 @@
 
 // place starts what fits of a job and tells how many tasks lack room.
 func (p *planner) place(j *Job) int {
-	want := min(j.Pending, p.admits(j))
+	want := min(j.Pending, p.limitAllows(j))
 	if j.Spec.Kind == wire.Gang && want < j.Pending || want == 0 {
 		p.plan.Why[j.ID] = "the team's limit is used up"
-		if t := p.Teams[j.Spec.Team]; t != nil && j.Spec.Kind == wire.Gang && !j.Deprior && t.reserved == (Res{}) {
+		if t := p.Teams[j.Spec.Team]; t != nil && j.Spec.Kind == wire.Gang && !j.Deprioritized && t.reserved == (Res{}) {
 			// Exception: what a team's limit leaves is reserved like machines, for
 			// the first of its gangs. Single tasks of the team took each piece as it
 			// came, and its gangs waited for minutes, or for ever.
@@ -137,8 +137,8 @@
 	return k
 }
 
-// admits is how many more tasks the team's limit admits.
-func (p *planner) admits(j *Job) int {
+// limitAllows is how many more tasks the team's limit limitAllows.
+func (p *planner) limitAllows(j *Job) int {
 	t := p.Teams[j.Spec.Team]
 	if t == nil {
 		return 0
@@ -333,7 +333,7 @@
 func (p *planner) reserve(j *Job) {
 	set, at := p.soonestSet(j, func(m *Machine) bool {
 		_, taken := p.reserved[m]
-		return !m.Borrowable && !m.Foreign && (!taken || m.Promised != nil && m.Promised.Job == j)
+		return !m.Borrowable && !m.Foreign && (!taken || m.Reservation != nil && m.Reservation.Job == j)
 	})
 	if j.Spec.Kind == wire.Gang {
 		p.gangs++
--- a/internal/sched/promise.go
+++ b/internal/sched/promise.go
@@ -9,14 +9,14 @@
 	"spurmoor/internal/wire"
 )
 
-// Promised says for which job a machine is kept until it is empty, and when
+// AdvanceReservation says for which job a machine is kept until it is empty, and when
 // the last of that job's machines should be.
-type Promised struct {
+type AdvanceReservation struct {
 	Job *Job
 	At  int64
 }
 
-// Promise deals machines of all parts out to the gangs that are due, oldest
+// ReserveAhead deals machines of all parts out to the gangs that are due, oldest
 // first: to each those of one zone, where it must be in one, that empty
 // soonest. Exception: a part seldom holds eight machines of a zone, nothing may
 // be stopped for work of the same tier, and so the largest gangs waited until
@@ -26,12 +26,12 @@
 // rest, and none began. A gang accepted after old is promised nothing that it can
 // have at once or by stopping what is of a lower tier, nor a single machine: it
 // has that sooner by itself.
-func Promise(now, old int64, machines []*Machine, due []*Job) map[string]Promised {
+func ReserveAhead(now, old int64, machines []*Machine, due []*Job) map[string]AdvanceReservation {
 	due = slices.Clone(due)
 	// The larger a gang, the longer its machines take to empty.
 	rank := func(j *Job) int64 { return j.At - int64(j.Spec.Tasks)*5*Second }
 	slices.SortFunc(due, func(a, b *Job) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.ID, b.ID)) })
-	promised := map[string]Promised{}
+	promised := map[string]AdvanceReservation{}
 	for _, j := range due {
 		free := func(m *Machine) bool { _, taken := promised[m.Name]; return !taken }
 		best := soonestEmpty(j, now, machines, free)
@@ -43,7 +43,7 @@
 			continue
 		}
 		for _, s := range best {
-			promised[s.m.Name] = Promised{j, last}
+			promised[s.m.Name] = AdvanceReservation{j, last}
 		}
 	}
 	return promised
@@ -95,7 +95,7 @@
 	}
 	for _, u := range m.Uses {
 		switch {
-		case u.Job != nil && u.Job.Tier < j.own():
+		case u.Job != nil && u.Job.Tier < j.ownTier():
 			at = max(at, min(u.End, now+Clearing))
 		case u.Job != nil && u.Job.Spec.Kind == wire.Daemon:
 			return math.MaxInt64
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -89,7 +89,7 @@
 	if j.Spec.Kind != wire.Array && r.due(j) {
 		score += dueBonus
 	}
-	if j.Deprior {
+	if j.Deprioritized {
 		// Exception: a high-tier job that fails on every machine would
 		// top each cycle and take room first.
 		score -= depriorPenalty
@@ -147,7 +147,7 @@
 // due tells whether a job has not begun though half of the time is over within
 // which every job should have.
 func (p *planner) due(j *Job) bool {
-	return !j.Begun && !j.Deprior && float64(p.Now-j.At) > p.Ops.BeginWithinS/2*float64(Second)
+	return !j.Begun && !j.Deprioritized && float64(p.Now-j.At) > p.Ops.BeginWithinS/2*float64(Second)
 }
 
 // outOfReach is the share of the stated aims of the job's class that it can
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -26,7 +26,7 @@
 		}
 	}
 	for _, j := range blocked {
-		if !j.Deprior {
+		if !j.Deprioritized {
 			d.serve(j)
 		}
 	}
@@ -173,8 +173,8 @@
 	if m.Lent && !m.Fair && !p.guaranteed(j) {
 		return false
 	}
-	if m.Promised != nil {
-		return m.Promised.Job == j
+	if m.Reservation != nil {
+		return m.Reservation.Job == j
 	}
 	if m.Foreign && !m.Lent && m.Claim != j.ID || !p.couldRun(j, m) {
 		return false
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -68,7 +68,7 @@
 	Lent       bool  // ours by home, at work for another part
 	Fair       bool  // of a Lent one: its borrower uses far more than we do
 	Claim      string
-	Promised   *Promised // to a gang that is due, of whatever part
+	Reservation   *AdvanceReservation // to a gang that is due, of whatever part
 	Images     []string  // in its cache, or being fetched
 	Uses       []Use
 	byEnd      bool // Uses are in the order of their ends, and the plan's own
@@ -90,7 +90,7 @@
 	InZone  map[string]int
 	Avoid   map[string]bool // machines
 	Begun   bool            // some of its tasks were started
-	Deprior bool            // failing everywhere: it must not take room first
+	Deprioritized bool            // failing everywhere: it must not take room first
 	score   float64
 	zone    string // where its machines are to be rented, if all in one
 	blocked int
@@ -194,8 +194,8 @@
 func (p *planner) look() {
 	for _, m := range p.Machines {
 		p.held[m.kind()]++
-		if m.Promised != nil {
-			p.reserved[m], p.resFor[m] = m.Promised.At, m.Promised.Job
+		if m.Reservation != nil {
+			p.reserved[m], p.resFor[m] = m.Reservation.At, m.Reservation.Job
 		}
 		for _, u := range m.Uses {
 			if u.Job != nil {
@@ -213,7 +213,7 @@
 // which it should have gets its first task placed before all else.
 func (p *planner) beginDue() {
 	for _, j := range p.Jobs {
-		if j.Spec.Kind == wire.Array && p.due(j) && min(j.Pending, p.admits(j)) > 0 {
+		if j.Spec.Kind == wire.Array && p.due(j) && min(j.Pending, p.limitAllows(j)) > 0 {
 			p.fill(j, 1)
 		}
 	}
@@ -258,7 +258,7 @@
 	// bound. Room for it comes up or frees piece by piece, and smaller jobs
 	// took each piece as it came: gangs waited for minutes for machines that
 	// the demand had counted as theirs.
-	if !j.Deprior && (len(p.blocked) == 0 || j.Spec.Kind == wire.Gang && p.gangs < reserveGangs) {
+	if !j.Deprioritized && (len(p.blocked) == 0 || j.Spec.Kind == wire.Gang && p.gangs < reserveGangs) {
 		p.reserve(j)
 	}
 	p.blocked = append(p.blocked, j)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -218,9 +218,9 @@
 		go func() { s.hasten(s.store.Do(v)) }()
 	case core.CloudCall:
 		go func() { s.feed(s.cloud.Do(v)) }()
-	case core.Push:
+	case core.SendCommands:
 		go s.push(v, now)
-	case core.Tell:
+	case core.Broadcast:
 		s.tell(v.Heartbeat)
 	case core.Log:
 		s.log.Log(context.Background(), v.Level, v.Msg, v.Args...)
@@ -228,8 +228,8 @@
 }
 
 // push sends direct commands; a worker that hangs holds one of few places.
-func (s *Server) push(p core.Push, decidedAt int64) {
-	out := core.Pushed{Machine: p.Machine, Token: p.Body.Token, Starts: p.Starts}
+func (s *Server) push(p core.SendCommands, decidedAt int64) {
+	out := core.CommandsAnswered{Machine: p.Machine, Token: p.Body.Token, Starts: p.Starts}
 	defer func() { s.feed(out) }()
 	select {
 	case s.pushes <- struct{}{}:
@@ -382,7 +382,7 @@
 			s.log.Warn("sockets are short: workers' connections last for one report", "open", s.open(), "max_connections", s.set.Facts.Limits.MaxConnections)
 		}
 	}
-	s.ask(ctx, s.inputs, func(req uint64) any { return core.ReportIn{Req: req, Report: r} })
+	s.ask(ctx, s.inputs, func(req uint64) any { return core.ReportReceived{Req: req, Report: r} })
 }
 
 // serve asks the core, if the method is the right one.
@@ -416,7 +416,7 @@
 		return
 	}
 	select {
-	case s.inputs <- input{in: core.PeerIn{Heartbeat: h}}:
+	case s.inputs <- input{in: core.HeartbeatReceived{Heartbeat: h}}:
 	default:
 	}
 	ctx.SetStatusCode(204)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,10 +79,10 @@
 	TimeBoundMS float64 `json:"time_bound_ms"`
 }
 
-// Horizon is how many seconds a controller that lost the state service may go on
+// AnswerDeadline is how many seconds a controller that lost the state service may go on
 // answering reports: together with a lease by a slow clock and a margin that stays
 // below cancel_s, so that a task whose job was cancelled elsewhere ends in time.
-func (f *Facts) Horizon() float64 {
+func (f *Facts) AnswerDeadline() float64 {
 	left := f.Workers.CancelS - f.Workers.LeaseS*1.002
 	return left - min(3, left/4)
 }
@@ -155,8 +155,8 @@
 type Settings struct {
 	Platform
 	Ops Operators
-	// TeamPart deals each team to a part.
-	TeamPart map[string]int
+	// TeamPartition deals each team to a part.
+	TeamPartition map[string]int
 	// Nodes lists every controller by name, in order.
 	Nodes []string
 	// Sockets is what each use may open.
@@ -282,7 +282,7 @@
 		return strings.Compare(a.Name, b.Name)
 	})
 	load := make([]float64, s.Ops.Parts)
-	s.TeamPart = map[string]int{}
+	s.TeamPartition = map[string]int{}
 	for _, t := range teams {
 		least := 0
 		for i := range load {
@@ -291,6 +291,6 @@
 			}
 		}
 		load[least] += size(t) + 1e-3
-		s.TeamPart[t.Name] = least
+		s.TeamPartition[t.Name] = least
 	}
 }
--- a/internal/settings/sockets.go
+++ b/internal/settings/sockets.go
@@ -38,7 +38,7 @@
 	if s.Facts.Limits.MemMB < 48 {
 		list = append(list, "facts.machine_limits.mem_mb is below 48: the process may be ended for its memory")
 	}
-	if h := s.Facts.Horizon(); h < s.Ops.HoldTTLS+2 {
+	if h := s.Facts.AnswerDeadline(); h < s.Ops.HoldTTLS+2 {
 		list = append(list, fmt.Sprintf("facts.workers.cancel_s leaves %.1f s beside a lease: when the state service is away for longer, or a controller ends, workers' tasks end", h))
 	}
 	return list
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -82,7 +82,7 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		c.bad("state service", err)
-		if call.Op == core.OpFollow {
+		if call.Op == core.OpWatch {
 			r.Status = fasthttp.StatusGone // asked again it would be larger still: read by pages instead
 		}
 	case err != nil && !errors.As(err, &none):
@@ -114,12 +114,12 @@
 		r.URI = "/store?" + query.Encode()
 	case core.OpTxn:
 		r.URI, r.Body = "/txn", call.Txn
-	case core.OpHold:
-		r.URI, r.Body = "/holds", wire.Hold{TTLMs: call.TTLMs}
-	case core.OpExtend:
+	case core.OpGrantLease:
+		r.URI, r.Body = "/holds", wire.LeaseRequest{TTLMs: call.TTLMs}
+	case core.OpRenewLease:
 		r.URI, r.Body = "/holds/"+strconv.FormatUint(call.Lease, 10)+"/extend", struct{}{}
 		r.Wait = renewalWait
-	case core.OpFollow:
+	case core.OpWatch:
 		query := url.Values{"Under": {core.Live}, "Since": {strconv.FormatUint(call.Since, 10)}, "BlockMs": {strconv.Itoa(call.WaitMs)}}
 		r.URI = "/follow?" + query.Encode()
 		r.Wait += time.Duration(call.WaitMs) * time.Millisecond
@@ -129,14 +129,14 @@
 
 // decode reads an answer. One that can't be read counts as none.
 func decode(call core.StoreCall, status int, body []byte, r *core.StoreReply) error {
-	var hold wire.HoldResult
+	var hold wire.LeaseResponse
 	if to := target(call.Op, status, r, &hold); to != nil {
 		if err := json.Unmarshal(body, to); err != nil {
 			return err
 		}
 	}
 	r.Lease = hold.Lease
-	unnumbered := call.Op == core.OpTxn && r.Txn.Revision == 0 || call.Op == core.OpHold && r.Lease == 0
+	unnumbered := call.Op == core.OpTxn && r.Txn.Revision == 0 || call.Op == core.OpGrantLease && r.Lease == 0
 	if status == fasthttp.StatusOK && unnumbered {
 		return errors.New("an answer of 200 without its number")
 	}
@@ -145,7 +145,7 @@
 }
 
 // target is what an answer's body is read into; nil: it is not looked at.
-func target(op core.StoreOp, status int, r *core.StoreReply, hold *wire.HoldResult) any {
+func target(op core.StoreOp, status int, r *core.StoreReply, hold *wire.LeaseResponse) any {
 	if op == core.OpTxn && (status == fasthttp.StatusConflict || status == fasthttp.StatusBadRequest) {
 		return &r.Txn
 	}
@@ -159,9 +159,9 @@
 		return &r.Item
 	case core.OpList:
 		return &r.Items
-	case core.OpHold:
+	case core.OpGrantLease:
 		return hold
-	case core.OpFollow:
+	case core.OpWatch:
 		return &r.Follow
 	}
 	return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -192,14 +192,14 @@
 	GraceS  *float64 `json:"GraciaS,omitempty"`
 }
 
-// Orders answers a report.
-type Orders struct {
+// ReportResponse answers a report.
+type ReportResponse struct {
 	Token    uint64    `json:"Baston"`
 	Commands []Command `json:"Ordenes"`
 }
 
-// Push is the body of a direct command to a worker.
-type Push struct {
+// CommandRequest is the body of a direct command to a worker.
+type CommandRequest struct {
 	Token    uint64    `json:"Baston"`
 	Session  uint64    `json:"Jornada"`
 	Commands []Command `json:"Ordenes"`
@@ -315,18 +315,18 @@
 	Version uint64         `json:"Edicion"`
 }
 
-// Follow answers a watch.
-type Follow struct {
+// WatchResponse answers a watch.
+type WatchResponse struct {
 	Revision uint64  `json:"Revision"`
 	Events   []Event `json:"Log"`
 }
 
-// Hold asks for a lease.
-type Hold struct {
+// LeaseRequest asks for a lease.
+type LeaseRequest struct {
 	TTLMs int64 `json:"TtlMs"`
 }
 
-// HoldResult answers with the lease.
-type HoldResult struct {
+// LeaseResponse answers with the lease.
+type LeaseResponse struct {
 	Lease uint64 `json:"Arriendo"`
 }
