--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -75,6 +75,8 @@
 	case "no_capacity":
 		w.cloud.empty = true
 		w.after(lasts, func() { w.cloud.empty = false })
+	case "slow_links":
+		w.slowUntil = w.now + lasts
 	case "limits":
 		w.sc.WriteRPS, w.sc.ValueKB, w.sc.TxnOps = w.sc.Next.WriteRPS, w.sc.Next.ValueKB, w.sc.Next.TxnOps
 		w.store.changes.rate = w.sc.WriteRPS
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -32,8 +32,15 @@
 
 // TestSeeds plays the random day with faults drawn from many seeds: 20, or
 // as many as REHEARSAL_SEEDS says.
-func TestSeeds(t *testing.T) {
-	seeds := 20
+func TestSeeds(t *testing.T) { playSeeds(t, "testdata/random_1.toml", 1000, 20) }
+
+// TestSlowSeeds is TestSeeds on days on which links are slow now and then.
+func TestSlowSeeds(t *testing.T) { playSeeds(t, "testdata/random_slow_links.toml", 5000, 10) }
+
+// playSeeds plays a random day from many seeds: so many, or as many as
+// REHEARSAL_SEEDS says.
+func playSeeds(t *testing.T, file string, first, seeds int) {
+	t.Helper()
 	if v := os.Getenv("REHEARSAL_SEEDS"); v != "" {
 		n, err := strconv.Atoi(v)
 		if err != nil {
@@ -41,18 +48,18 @@
 		}
 		seeds = n
 	}
-	text, err := os.ReadFile("testdata/random_1.toml")
+	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for seed := range seeds {
-		t.Run(strconv.Itoa(1000+seed), func(t *testing.T) {
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
-			sc, err := Parse([]byte(strings.Replace(string(text), "seed = 1\n", "seed = "+strconv.Itoa(1000+seed)+"\n", 1)))
+			sc, err := Parse([]byte(strings.Replace(string(text), "seed = 1\n", "seed = "+strconv.Itoa(seed)+"\n", 1)))
 			if err != nil {
 				t.Fatal(err)
 			}
-			if sc.Seed != uint64(1000+seed) {
+			if sc.Seed != uint64(seed) {
 				t.Fatalf("seed is %d", sc.Seed)
 			}
 			play(t, sc)
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -136,6 +136,8 @@
 	FromS  float64  `toml:"from_s"`
 	ToS    float64  `toml:"to_s"`
 	Kinds  []string `toml:"kinds"`
+	// SlowLinks is how often links are slow besides, drawn on its own.
+	SlowLinks int `toml:"slow_links"`
 }
 
 // Expected is what must hold of a job at the end, or by some time.
@@ -166,6 +168,10 @@
 			s.Faults = append(s.Faults, Fault{AtS: r.FromS + rng.Float64()*(r.ToS-r.FromS), ForS: 1 + rng.Float64()*25,
 				Kind: r.Kinds[rng.IntN(len(r.Kinds))], HangS: float64(rng.IntN(2)) * 12, Node: rng.IntN(3), Hold: rng.IntN(2) == 0, Zone: zones[rng.IntN(2)]})
 		}
+		rng = rand.New(rand.NewPCG(s.Seed, 78))
+		for range r.SlowLinks {
+			s.Faults = append(s.Faults, Fault{AtS: r.FromS + rng.Float64()*(r.ToS-r.FromS), ForS: 10 + rng.Float64()*50, Kind: "slow_links"})
+		}
 	}
 	return s, nil
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -63,30 +63,31 @@
 
 // World is a day being played.
 type World struct {
-	sc       *Scenario
-	now      int64
-	rng      *rand.Rand
-	q        queue
-	seq      int
-	nodes    []*node
-	store    *store
-	cloud    *cloud
-	workers  []*worker
-	byAddr   map[string]*worker
-	users    []*user
-	byID     map[string]*user
-	check    *checker
-	saved    map[string]int64
-	results  map[string]bool
-	truth    map[string]Job
-	live     live
-	waiting  int    // peak of requests at a controller
-	pushing  int    // peak of its direct commands
-	machines int    // peak of those up
-	cutZone  string // zone cut off from all others
-	crossed  []func()
-	muted    string // job whose user gets no answers
-	calm     int64  // when the last trouble was over
+	sc        *Scenario
+	now       int64
+	rng       *rand.Rand
+	q         queue
+	seq       int
+	nodes     []*node
+	store     *store
+	cloud     *cloud
+	workers   []*worker
+	byAddr    map[string]*worker
+	users     []*user
+	byID      map[string]*user
+	check     *checker
+	saved     map[string]int64
+	results   map[string]bool
+	truth     map[string]Job
+	live      live
+	waiting   int    // peak of requests at a controller
+	pushing   int    // peak of its direct commands
+	machines  int    // peak of those up
+	slowUntil int64  // links are slow until then
+	cutZone   string // zone cut off from all others
+	crossed   []func()
+	muted     string // job whose user gets no answers
+	calm      int64  // when the last trouble was over
 	// what troubles.go brings about
 	lateWrites  share
 	lateReports share
@@ -231,7 +232,28 @@
 	w.step(n, in(req))
 }
 
-func (w *World) latency() int64 { return second/1000 + w.rng.Int64N(second/200) }
+// Links that are slow: delays as between distant zones on a bad day, and packets
+// that are lost and resent.
+const (
+	slowDelay   = second * 2 / 5
+	slowLost    = 0.02
+	resendAfter = second
+	resendMost  = 2 * second
+)
+
+// latency is how long a packet takes.
+func (w *World) latency() int64 {
+	d := second/1000 + w.rng.Int64N(second/200)
+	if w.now >= w.slowUntil {
+		return d
+	}
+	d += w.rng.Int64N(slowDelay)
+	if w.rng.Float64() < slowLost {
+		w.happened("packets lost and resent")
+		d += resendAfter + w.rng.Int64N(resendMost-resendAfter)
+	}
+	return d
+}
 
 // between delivers something between a node and a worker, unless a zone's cut
 // lies between them, which holds it back until it ends.
