--- a/cmd/spurmoor/main.go
+++ b/cmd/spurmoor/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"runtime/debug"
@@ -102,12 +103,7 @@
 			if err != nil {
 				return err
 			}
-			for _, t := range set.Facts.Teams {
-				if _, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: part %d of %d\n", t.Name, set.TeamPartition[t.Name], set.Ops.Parts); err != nil {
-					return err
-				}
-			}
-			return nil
+			return show(cmd.OutOrStdout(), set)
 		},
 	}, &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
@@ -129,3 +125,19 @@
 	}
 	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), nil
 }
+
+// show prints how teams are dealt into partitions, and what a controller would warn of
+// at its start.
+func show(out io.Writer, set *settings.Settings) error {
+	for _, t := range set.Facts.Teams {
+		if _, err := fmt.Fprintf(out, "%s: partition %d of %d\n", t.Name, set.TeamPartition[t.Name], set.Ops.Parts); err != nil {
+			return err
+		}
+	}
+	for _, w := range set.Sound() {
+		if _, err := fmt.Fprintf(out, "warning: %s\n", w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -89,7 +89,7 @@
 		j = &job{id: id, chunks: map[int][]task{}, avoid: map[string]bool{}, zones: map[string]int{},
 			need: sched.ResOf(rec.Spec.CPUs, rec.Spec.GPUs, rec.Spec.MemoryGB), partition: c.set.TeamPartition[rec.Spec.Team]}
 		c.jobs[id] = j
-		c.debug("job seen", "job", id, "kind", rec.Spec.Kind, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "part", j.partition)
+		c.debug("job seen", "job", id, "kind", rec.Spec.Kind, "team", rec.Spec.Team, "tasks", rec.Spec.Tasks, "partition", j.partition)
 	}
 	was := j.cancelled
 	j.spec, j.at, j.cancelled, j.ver = rec.Spec, rec.At, rec.Cancelled || j.needWithdrawn, ver
@@ -106,7 +106,7 @@
 	return nil
 }
 
-// applySlot takes in a slot of a part's log.
+// applySlot takes in a slot of a partition's log.
 func (c *Core) applySlot(key string, value []byte, ver uint64) error {
 	p, slot := c.parseSlot(key)
 	if p == nil {
@@ -255,7 +255,7 @@
 				c.finals.add(j.id, rec)
 				c.settleNeed(j.id, rec.outcome(), rec.At)
 			} else {
-				c.settleNeed(j.id, unsure, 0)
+				c.settleNeed(j.id, outcomeUnknown, 0)
 			}
 		}
 	}
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -1,7 +1,7 @@
 package core
 
 // budget is how many changes a controller may make: a share of what the
-// state service admits, by the parts held. Users' accepts and cancellations
+// state service admits, by the partitions held. Users' accepts and cancellations
 // are not held back by it but count, so that they never wait behind flushes.
 type budget struct {
 	level  float64
@@ -22,7 +22,7 @@
 // that others need.
 const cancelledWait = 300 * Second
 
-// share is how many changes a second we may make: a fixed share, by the parts held,
+// share is how many changes a second we may make: a fixed share, by the partitions held,
 // and what the others said they do not use. All the same may want it at once: then
 // some are refused and repeated until each has heard of the others.
 func (c *Core) share() float64 {
--- a/internal/core/cloud.go
+++ b/internal/core/cloud.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// adopt records a stray machine in a part of ours; it is used or returned
+// adopt records a stray machine in a partition of ours; it is used or returned
 // like any other.
 func (c *Core) adopt(name, typ, zone string, spot bool, how string) {
 	if at, ok := c.deletedAt[name]; ok && c.now < at+120*Second {
@@ -277,7 +277,7 @@
 func (c *Core) tryRent(p *partition, k sched.Kind, req *wire.Rent, try int) {
 	c.callCloud(CloudCall{Op: OpRent, Rent: req}, func(r *CloudReply) {
 		if r.Status == 200 {
-			c.info("machines rented", "part", p.idx, "kind", kindName(k).String(), "asked", req.Count, "got", len(r.Names))
+			c.info("machines rented", "partition", p.idx, "kind", kindName(k).String(), "asked", req.Count, "got", len(r.Names))
 			if len(r.Names) < req.Count {
 				c.refused[k] = c.now + secs(c.set.Ops.RefusalS)
 				p.renting(c, k, len(r.Names)-req.Count)
@@ -305,6 +305,6 @@
 			return // our budget, not the cloud's room
 		}
 		c.refused[k] = c.now + c.jitter(secs(c.set.Ops.RefusalS))
-		c.info("rental refused", "part", p.idx, "kind", kindName(k).String(), "status", r.Status)
+		c.info("rental refused", "partition", p.idx, "kind", kindName(k).String(), "status", r.Status)
 	})
 }
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -10,7 +10,7 @@
 	"spurmoor/internal/wire"
 )
 
-// entry is an entry of a part's log.
+// entry is an entry of a partition's log.
 type entry struct {
 	seq  uint64
 	slot int
@@ -40,8 +40,8 @@
 	p.log = slices.Insert(p.log, at, e)
 }
 
-// flush is the one transaction of a part that is out: all that was decided,
-// as far as it fits. It guards the part's key and the version of the slot that
+// flush is the one transaction of a partition that is out: all that was decided,
+// as far as it fits. It guards the partition's key and the version of the slot that
 // its first entry goes to, which never comes back: of several copies at most
 // one is ever carried out.
 type flush struct {
@@ -69,7 +69,7 @@
 	op machineOp
 }
 
-// newMachines are machines that a part is to record.
+// newMachines are machines that a partition is to record.
 type newMachines struct {
 	rows  []machineRow
 	adopt bool // strays: others' logs and rentals are guarded against
@@ -103,7 +103,7 @@
 	return n
 }
 
-// flushes sends each held part's next flush when there is something to
+// flushes sends each held partition's next flush when there is something to
 // commit, the last one is settled and the budget allows it.
 func (c *Core) flushes() {
 	c.resend()
@@ -112,7 +112,7 @@
 	}
 	c.refill()
 	for k := range c.partitions {
-		// Each part first in turn.
+		// Each partition first in turn.
 		p := c.partitions[(k+c.turn)%len(c.partitions)]
 		if !p.held || p.flush != nil || c.now < p.flushed+Second/10 || len(p.dirty) == 0 && len(p.ops) == 0 && len(p.fresh) == 0 {
 			continue
@@ -132,7 +132,7 @@
 	}
 }
 
-// build gathers a part's flush in at most so many writes: finals first, for
+// build gathers a partition's flush in at most so many writes: finals first, for
 // their users wait, then machines, then tasks, of which a flush may hold
 // thousands.
 func (c *Core) build(p *partition, most int) *flush {
@@ -239,7 +239,7 @@
 	return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(a.endedAt, b.endedAt))
 }
 
-// flushed takes in that a part's flush was carried out.
+// flushed takes in that a partition's flush was carried out.
 func (c *Core) flushed(p *partition, rev uint64) {
 	f := p.flush
 	if f == nil {
@@ -308,8 +308,8 @@
 		"after_s", (c.now-j.at)/Second, "deadline_s", j.spec.DeadlineS)
 }
 
-// unflushed takes in that a part's flush was refused for good: a job was
-// cancelled meanwhile, say. The mirror is newer than the refusal, so the next
+// unflushed takes in that a partition's flush was refused for good: a job was
+// cancelled meanwhile, say. The replica is newer than the refusal, so the next
 // flush says the same in the light of it. Strays can wait.
 func (c *Core) unflushed(p *partition) {
 	p.fresh = slices.DeleteFunc(p.fresh, func(n *newMachines) bool {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,8 +3,8 @@
 // reads no clock and uses no randomness but a generator handed to it.
 //
 // All that must last is in the state service, and every controller keeps a
-// mirror of it: leased parts, machine records, unfinished jobs and their
-// tasks. Decisions are made on that mirror and take effect only once a
+// replica of it: leased partitions, machine records, unfinished jobs and their
+// tasks. Decisions are made on that replica and take effect only once a
 // conditional write of them was answered.
 package core
 
@@ -167,31 +167,31 @@
 	store    map[uint64]func(*StoreReply)
 	cloud    map[uint64]func(*CloudReply)
 
-	// the mirror of the state service
-	synced         bool
-	rev            uint64
-	replicaAt      int64 // the mirror shows all that was committed before then
-	partitions     []*partition
-	machines       map[string]*machine
-	order          []*machine        // by name
-	tombstones     map[string]origin // machines deleted, while some log still names them
-	rows           map[string]int    // how many entries of all logs name a machine
-	adoptVer       uint64
-	jobs           map[string]*job
-	needs          map[string]*dependency
-	outcomeUnknown []string // of the needs those whose final records are to be read
-	unsureAt       int64    // not before
-	needReads      int      // final records being read for needs
-	urgent         map[string]urgency
-	finals         *finals
-	waitingReads   []func(ok bool) // wait for a read begun after they asked
-	reading        bool
-	watching       bool
-	watchAt        int64
-	readAt         int64
-	storeOK        int64 // last answer from the state service
-	storeBad       int64 // when it last began not to answer; 0: it answers
-	relist         *relisting
+	// the replica of the state service
+	synced       bool
+	rev          uint64
+	replicaAt    int64 // the replica shows all that was committed before then
+	partitions   []*partition
+	machines     map[string]*machine
+	order        []*machine        // by name
+	tombstones   map[string]origin // machines deleted, while some log still names them
+	rows         map[string]int    // how many entries of all logs name a machine
+	adoptVer     uint64
+	jobs         map[string]*job
+	needs        map[string]*dependency
+	needsToRead  []string // of the needs those whose final records are to be read
+	unsureAt     int64    // not before
+	needReads    int      // final records being read for needs
+	urgent       map[string]urgency
+	finals       *finals
+	waitingReads []func(ok bool) // wait for a read begun after they asked
+	reading      bool
+	watching     bool
+	watchAt      int64
+	readAt       int64
+	storeOK      int64 // last answer from the state service
+	storeBad     int64 // when it last began not to answer; 0: it answers
+	relist       *relisting
 	// storeRefuses: since it began to fail some of it were answers, not silence.
 	storeRefuses bool
 	condition    condition
@@ -208,7 +208,7 @@
 	usage   map[string]*sched.Res
 	txns    []*transaction
 	writes  budget
-	turn    int // of the parts to flush first
+	turn    int // of the partitions to flush first
 	accepts int
 
 	types     []wire.MachineType
@@ -238,15 +238,15 @@
 	reserved  map[string]sched.AdvanceReservation // machines kept for gangs that are due
 
 	heartbeats       map[string]*heard
-	schemas          map[string]int // by controller, the form that it is known to read
+	schemas          map[string]int // by controller, the schema version that it is known to read
 	schemaAt         int64
 	schemaAgreed     bool // all read ours; said so
 	heartbeatAt      int64
 	asks             []peer.Ask
 	notices          []cancellationNotice
-	noTakeoverBefore int64 // takes no part before this
+	noTakeoverBefore int64 // takes no partition over before this
 	unreached        int64
-	heardAt          int64 // any worker, of whatever part
+	heardAt          int64 // any worker, of whatever partition
 	cutOff           bool  // no worker reached us; none has answered since
 	probeAt          int64
 	probed           int
--- a/internal/core/entries.go
+++ b/internal/core/entries.go
@@ -177,7 +177,7 @@
 
 // fresh records machines rented and adopted. Adoptions and rentals exclude
 // each other: an adoption changes a key that rentals guard, and guards that no
-// other part's log went on unseen, which would change its oldest slot or
+// other partition's log went on unseen, which would change its oldest slot or
 // begin a new one.
 func (b *builder) fresh() {
 	c, p := b.c, b.p
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -38,7 +38,7 @@
 			}
 		}
 	case e.Holder == "":
-		e.Why = "no controller holds its team's part at the moment"
+		e.Why = "no controller holds its team's partition at the moment"
 	case !c.partitions[j.partition].held:
 		e.Why = "ask " + e.Holder + ", which plans it"
 	case j.suspect:
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -37,7 +37,7 @@
 
 // A cancellation is told to the other controllers for a few seconds: its holder
 // may not see the state service, and its tasks then end sooner. Nothing rests on
-// it: an unknown or lost one is in effect within the horizon and a lease.
+// it: an unknown or lost one is in effect within the answer deadline and a lease.
 const (
 	tellFor = 5 * Second
 	maxTold = 400
--- a/internal/core/isolation.go
+++ b/internal/core/isolation.go
@@ -4,7 +4,7 @@
 	"spurmoor/internal/wire"
 )
 
-// stepDown gives our parts up when no worker reaches us, whatever its machine's
+// stepDown gives our partitions up when no worker reaches us, whatever its machine's
 // part, although another controller is well: the cut may be ours alone. The
 // more machines we have the sooner it is certain. Judged by each machine's own
 // silence, a controller that was cut off went on borrowing machines, each of
@@ -40,7 +40,7 @@
 
 // probe asks a few workers, after no worker reached us, whether one does again:
 // none comes by itself to a controller that holds no part. Handed back after a
-// set time, the parts went without answers for as long again.
+// set time, the partitions went without answers for as long again.
 func (c *Core) probe() {
 	if !c.cutOff || c.now < c.probeAt {
 		return
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -59,7 +59,7 @@
 	nPlaced   int
 	nDone     int
 	nChanged  int  // tasks to commit
-	over      bool // its final state is committed, the mirror not there yet
+	over      bool // its final state is committed, the replica not there yet
 
 	needs         []string // jobs that must be done first
 	openNeeds     int      // of those not done, or not known to be
--- a/internal/core/lending.go
+++ b/internal/core/lending.go
@@ -6,9 +6,9 @@
 	"spurmoor/internal/wire"
 )
 
-// spare is a machine of another part with room for a job of ours that nothing can
+// spare is a machine of another partition with room for a job of ours that nothing can
 // be rented for, and of which nothing has begun after a sixth of begin_within_s.
-// A machine has one holder, so room beside another part's tasks is no use to us: in
+// A machine has one holder, so room beside another partition's tasks is no use to us: in
 // a small, full cluster a team under its limit waited for two minutes beside it.
 // It is asked for to be given when its tasks have ended; one at a time.
 func (c *Core) spare(p *partition, jobs map[string]*job, why map[string]string) *machine {
@@ -42,7 +42,7 @@
 	p.spare = ""
 	if best != nil {
 		p.spare = best.name
-		c.info("spare machine asked for", "for", first.id, "machine", best.name, "part", best.rec.Cur, "tasks", len(best.tasksOn))
+		c.info("spare machine asked for", "for", first.id, "machine", best.name, "partition", best.rec.Cur, "tasks", len(best.tasksOn))
 	}
 	return best
 }
@@ -64,7 +64,7 @@
 	return first
 }
 
-// sparable tells whether a machine of another part may be asked for, for a job.
+// sparable tells whether a machine of another partition may be asked for, for a job.
 func (c *Core) sparable(m *machine, p *partition, j *job) bool {
 	if m.rec.Cur == p.idx || m.typ == nil || m.rec.Gone || m.claim != "" || j.avoid[m.name] || c.reservedFor(m) >= 0 {
 		return false
@@ -75,7 +75,7 @@
 // maxIdle bounds what is offered at a time.
 const maxIdle = 400
 
-// idle lists machines of ours that another part may borrow.
+// idle lists machines of ours that another partition may borrow.
 func (c *Core) idle() []peer.Idle {
 	var list []peer.Idle
 	for _, m := range c.order {
@@ -91,7 +91,7 @@
 		m.notice == 0 && !c.claimed(m) && m.ignoringSince == 0 && c.now < m.seenAt+c.lately()
 }
 
-// idleAbroad tells whether a machine of another part may be borrowed.
+// idleAbroad tells whether a machine of another partition may be borrowed.
 func (c *Core) idleAbroad(name string) bool {
 	m := c.machines[name]
 	if c.heldPartition(m) != nil {
@@ -105,7 +105,7 @@
 	return false
 }
 
-// claimed tells whether a job of the machine's own part has a claim on it.
+// claimed tells whether a job of the machine's own partition has a claim on it.
 func (c *Core) claimed(m *machine) bool {
 	j := c.jobs[m.claim]
 	return j != nil && j.partition == m.rec.Cur
@@ -148,7 +148,7 @@
 	}
 }
 
-// movable tells whether a machine with tasks may be set aside for another part.
+// movable tells whether a machine with tasks may be set aside for another partition.
 func (c *Core) movable(m *machine) bool {
 	if m.moveTo >= 0 || !m.ready || m.rec.Gone || m.faulty || m.notice > 0 {
 		return false
@@ -156,7 +156,7 @@
 	return c.reservedFor(m) < 0 && !c.claimed(m)
 }
 
-// yield sets a machine with tasks aside for another part, if that is permitted.
+// yield sets a machine with tasks aside for another partition, if that is permitted.
 func (c *Core) yield(m *machine, a peer.Ask) {
 	switch {
 	case a.Spare:
@@ -171,7 +171,7 @@
 	}
 }
 
-// lend moves an empty machine to another part.
+// lend moves an empty machine to another partition.
 func (c *Core) lend(m *machine, to int) {
 	if m.busy() || m.rec.Gone || !c.emptied(m) || to == m.rec.Cur || to < 0 || to >= len(c.partitions) {
 		return
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -74,9 +74,9 @@
 	opNone       machineOp = iota
 	opDelete               // never to be used again, to be deleted
 	opDropRecord           // its record goes
-	opLend                 // to another part
+	opLend                 // to another partition
 	opRaiseToken           // its token rises
-	opCopyRecord           // into our log, from that of the part that it came from
+	opCopyRecord           // into our log, from that of the partition that it came from
 )
 
 func (m *machine) busy() bool { return m.op != opNone }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -8,11 +8,11 @@
 	"spurmoor/internal/wire"
 )
 
-// tokenOf is what a machine's worker must obey: the later of the part's
+// tokenOf is what a machine's worker must obey: the later of the partition's
 // take-over and the record's floor. Revisions only rise.
 func (c *Core) tokenOf(m *machine) uint64 { return max(c.partitions[m.rec.Cur].ver, m.rec.Token) }
 
-// heldPartition gives a machine's part if we hold it.
+// heldPartition gives a machine's partition if we hold it.
 func (c *Core) heldPartition(m *machine) *partition {
 	if m.rec.Cur < 0 || m.rec.Cur >= len(c.partitions) || !c.partitions[m.rec.Cur].held {
 		return nil
@@ -52,7 +52,7 @@
 	}
 }
 
-// keepMachines looks after the machines of the parts that we hold.
+// keepMachines looks after the machines of the partitions that we hold.
 func (c *Core) keepMachines() {
 	silent, up := 0, 0
 	silence := c.silence()
@@ -74,7 +74,7 @@
 	cut := up >= 2 && silent*2 > up
 	c.stepDown(up)
 	if !c.leaseValid() {
-		return // another controller may hold our parts by now
+		return // another controller may hold our partitions by now
 	}
 	for _, m := range c.order {
 		if c.heldPartition(m) != nil {
@@ -204,12 +204,12 @@
 	}
 }
 
-// keepMove empties a machine that goes to another part, and lends it there.
+// keepMove empties a machine that goes to another partition, and lends it there.
 func (c *Core) keepMove(m *machine) {
 	for _, id := range m.tasks() {
 		j := c.jobs[id.job]
 		if t := j.task(id.n); m.evict {
-			c.leave(j, t, "the machine goes to another part")
+			c.leave(j, t, "the machine goes to another partition")
 		}
 	}
 	if len(m.tasksOn) == 0 && m.ready {
@@ -218,7 +218,7 @@
 }
 
 // keepClaim ends a claim with the job's start there (plan), its time, or its need.
-// It ended with the job's first task anywhere once: two parts then took a machine
+// It ended with the job's first task anywhere once: two partitions then took a machine
 // from each other three times a second.
 func (c *Core) keepClaim(m *machine) {
 	if m.claim == "" {
@@ -239,7 +239,7 @@
 }
 
 // remove marks a machine for deletion: from then on it is never used again,
-// by whoever holds its part.
+// by whoever holds its partition.
 func (c *Core) remove(m *machine, why string) {
 	if m.busy() || m.rec.Gone {
 		return
--- a/internal/core/meet_test.go
+++ b/internal/core/meet_test.go
@@ -9,7 +9,7 @@
 	"spurmoor/internal/wire"
 )
 
-// holder is a controller that holds a part with one machine, on which one task
+// holder is a controller that holds a partition with one machine, on which one task
 // of a job is placed and committed.
 func holder(t *testing.T) (*Core, *partition, *machine, *job) {
 	t.Helper()
@@ -89,8 +89,8 @@
 	}
 }
 
-// TestResignedTerm guards against a part that is held again under a term that was
-// given up: the deletion of its key may come late, and who takes the part then
+// TestResignedTerm guards against a partition that is held again under a term that was
+// given up: the deletion of its key may come late, and who takes the partition then
 // counts on the silence that was promised.
 func TestResignedTerm(t *testing.T) {
 	c, p, _, _ := holder(t)
--- a/internal/core/needs.go
+++ b/internal/core/needs.go
@@ -10,7 +10,7 @@
 
 // Jobs that wait for jobs. Whether a job may start, or is withdrawn with one
 // that it needs, follows from the state service alone: every controller works
-// it out from the mirror, so nobody has to be told and a take-over changes
+// it out from the replica, so nobody has to be told and a take-over changes
 // nothing. A need whose key is gone was done or withdrawn; which of the two, the
 // order of the changes says, or its final record.
 
@@ -18,7 +18,7 @@
 type outcome uint8
 
 const (
-	unsure           outcome = iota // over; its final record is being read
+	outcomeUnknown   outcome = iota // over; its final record is being read
 	unfinished                      // neither
 	outcomeDone                     // done
 	outcomeWithdrawn                // cancelled, or needs one that is
@@ -40,8 +40,8 @@
 		n := c.needs[id]
 		if n == nil {
 			n = &dependency{}
-			if n.outcome, n.at = c.knownOutcome(id); n.outcome == unsure {
-				c.outcomeUnknown = append(c.outcomeUnknown, id)
+			if n.outcome, n.at = c.knownOutcome(id); n.outcome == outcomeUnknown {
+				c.needsToRead = append(c.needsToRead, id)
 			}
 			c.needs[id] = n
 		}
@@ -70,7 +70,7 @@
 	}
 	switch j := c.jobs[id]; {
 	case j == nil:
-		return unsure, 0
+		return outcomeUnknown, 0
 	case j.cancelled:
 		return outcomeWithdrawn, 0
 	}
@@ -90,8 +90,8 @@
 	if n == nil || n.outcome == o || n.outcome >= outcomeDone {
 		return
 	}
-	if n.outcome, n.at = o, at; o == unsure {
-		c.outcomeUnknown = append(c.outcomeUnknown, id)
+	if n.outcome, n.at = o, at; o == outcomeUnknown {
+		c.needsToRead = append(c.needsToRead, id)
 	}
 	for _, j := range n.by {
 		c.review(j)
@@ -107,7 +107,7 @@
 		case outcomeDone:
 			j.needed = max(j.needed, n.at)
 			continue
-		case unsure:
+		case outcomeUnknown:
 			j.unsure++
 		case outcomeWithdrawn:
 			j.needWithdrawn = true
@@ -132,7 +132,7 @@
 // begun tells whether some task was started, so that all it needs is done.
 func (j *job) begun() bool { return j.nPlaced+j.nDone > 0 }
 
-// final tells what a job that vanished from the mirror had become, if that is
+// final tells what a job that vanished from the replica had become, if that is
 // known. A cancellation changes the job's key before its end does, and a final
 // state guards the version that it follows: without one the job was done.
 func (c *Core) final(j *job) (finalRecord, bool) {
@@ -148,28 +148,28 @@
 	return finalRecord{State: wire.Done, Done: j.spec.Tasks, At: c.now}, true
 }
 
-// keepNeeds reads the final records of needs that were over before the mirror
+// keepNeeds reads the final records of needs that were over before the replica
 // could show how, a few at a time.
 func (c *Core) keepNeeds() {
 	if !c.synced || c.now < c.unsureAt {
 		return
 	}
-	for len(c.outcomeUnknown) > 0 && c.needReads < maxReads/2 {
-		id := c.outcomeUnknown[0]
-		c.outcomeUnknown = c.outcomeUnknown[1:]
-		if n := c.needs[id]; n == nil || n.outcome != unsure {
+	for len(c.needsToRead) > 0 && c.needReads < maxReads/2 {
+		id := c.needsToRead[0]
+		c.needsToRead = c.needsToRead[1:]
+		if n := c.needs[id]; n == nil || n.outcome != outcomeUnknown {
 			continue
 		}
-		if o, at := c.knownOutcome(id); o != unsure {
+		if o, at := c.knownOutcome(id); o != outcomeUnknown {
 			c.settleNeed(id, o, at)
 			continue
 		}
 		c.readNeed(id, func(f found) {
-			if n := c.needs[id]; f != known && n != nil && n.outcome == unsure {
+			if n := c.needs[id]; f != known && n != nil && n.outcome == outcomeUnknown {
 				if f == never {
 					c.fault("no trace of a job that others need", "job", id)
 				}
-				c.outcomeUnknown, c.unsureAt = append(c.outcomeUnknown, id), c.now+c.jitter(Second/2)
+				c.needsToRead, c.unsureAt = append(c.needsToRead, id), c.now+c.jitter(Second/2)
 			}
 		})
 	}
@@ -203,7 +203,7 @@
 }
 
 // checkNeeds makes sure that all jobs that a submission names were accepted, from a
-// read begun after it arrived where the mirror doesn't know one. It gives 0, or
+// read begun after it arrived where the replica doesn't know one. It gives 0, or
 // the status of a refusal.
 func (c *Core) checkNeeds(spec *wire.Job, f func(status int, why string)) {
 	if len(c.unknownNeeds(spec)) == 0 {
@@ -245,7 +245,7 @@
 func (c *Core) unknownNeeds(spec *wire.Job) []string {
 	var list []string
 	for _, id := range spec.Needs {
-		if o, _ := c.knownOutcome(id); o == unsure {
+		if o, _ := c.knownOutcome(id); o == outcomeUnknown {
 			list = append(list, id)
 		}
 	}
--- a/internal/core/needs_test.go
+++ b/internal/core/needs_test.go
@@ -12,7 +12,7 @@
 	"spurmoor/internal/wire"
 )
 
-// watched is a controller whose mirror holds one job, accepted at revision 3.
+// watched is a controller whose replica holds one job, accepted at revision 3.
 func watched(t *testing.T) (*Core, []byte, wire.Event) {
 	t.Helper()
 	set := &settings.Settings{Ops: settings.Defaults(), TeamPartition: map[string]int{"norte": 0}, Nodes: []string{"nodo-0"}}
@@ -48,7 +48,7 @@
 }
 
 // TestRetryCostsNoChange guards against a transaction, which counts as a change,
-// for a submission of a job that the mirror knows.
+// for a submission of a job that the replica knows.
 func TestRetryCostsNoChange(t *testing.T) {
 	c, body, _ := watched(t)
 	txns := 0
--- a/internal/core/parts.go
+++ b/internal/core/partitions.go
@@ -29,7 +29,7 @@
 	tight    int                // how often its flushes were too large: half as much each time
 	rents    map[sched.Kind]int // asked for and not recorded yet
 	short    bool               // jobs waited at its last cycle
-	spare    string             // machine of another part that is to be given to us once it is empty
+	spare    string             // machine of another partition that is to be given to us once it is empty
 }
 
 func (p *partition) key() string { return partitionKey + strconv.Itoa(p.idx) }
@@ -38,17 +38,17 @@
 func (c *Core) ttl() int64 { return secs(c.set.Ops.HoldTTLS) }
 
 // answerDeadline is how long a holder still answers reports after the last moment of
-// which its mirror shows all: a task that is kept alive by an answer given then,
+// which its replica shows all: a task that is kept alive by an answer given then,
 // though its job was cancelled elsewhere, is gone within cancel_s all the same.
 func (c *Core) answerDeadline() int64 { return min(secs(c.set.Facts.AnswerDeadline()), 40*Second) }
 
-// replicaCertainAt is from when the horizon counts: the last moment at which we were
-// known to hold our lease and the mirror to be complete. A renewal alone does not
+// replicaCertainAt is from when the answer deadline counts: the last moment at which we were
+// known to hold our lease and the replica to be complete. A renewal alone does not
 // move it: one once succeeded while the watch still hung after a refusal, and a
 // cancellation told elsewhere in between outlived cancel_s in the outage after it.
 func (c *Core) replicaCertainAt() int64 { return min(c.leasedAt, c.replicaAt) }
 
-// startAge is how old the mirror may be when a task is started: a cancellation
+// startAge is how old the replica may be when a task is started: a cancellation
 // told elsewhere since is not in it.
 const startAge = 4 * Second
 
@@ -67,7 +67,7 @@
 // leaseS is the workers' lease by a clock that runs slow.
 func (c *Core) leaseS() int64 { return secs(c.set.Facts.Workers.LeaseS * 1.002) }
 
-// answers tells whether we may answer reports for a part. Past our lease we do
+// answers tells whether we may answer reports for a partition. Past our lease we do
 // so only while the state service may be away for everyone: where another
 // controller has it, the workers move on to that one at once.
 func (c *Core) answers(p *partition) bool { return p.held && c.mayAnswer() }
@@ -126,10 +126,10 @@
 	})
 }
 
-// partitionChanged takes in a part's key; version 0: it has none.
+// partitionChanged takes in a partition's key; version 0: it has none.
 func (c *Core) partitionChanged(p *partition, rec partitionRecord, ver uint64) {
 	// Never again under a term that we gave up: the deletion of its key may still
-	// be carried out, and whoever takes the part then counts on our silence.
+	// be carried out, and whoever takes the partition then counts on our silence.
 	mine := ver > p.resigned && rec.Node == c.set.Node && rec.Inc == c.inc && c.lease != 0
 	if p.held && (!mine || ver != p.ver) {
 		c.losePartition(p, "taken or expired")
@@ -140,7 +140,7 @@
 	}
 	if mine && !p.held {
 		p.held, p.tookAt = true, c.now
-		c.info("part taken over", "part", p.idx, "term", ver)
+		c.info("partition taken over", "partition", p.idx, "term", ver)
 		for _, m := range c.order {
 			if m.rec.Cur == p.idx {
 				m.forgetSeen(c)
@@ -174,13 +174,13 @@
 	m.op, m.moveTo = opNone, -1
 }
 
-// losePartition stops acting for a part and throws away what was not committed.
+// losePartition stops acting for a partition and throws away what was not committed.
 func (c *Core) losePartition(p *partition, why string) {
 	p.held = false
 	p.freeAt = c.now
-	c.info("part lost", "part", p.idx, "why", why)
+	c.info("partition lost", "partition", p.idx, "why", why)
 	if p.flush != nil {
-		p.flush.over = true // it was carried out before the part went, or never
+		p.flush.over = true // it was carried out before the partition went, or never
 		p.flush = nil
 	}
 	for _, m := range p.ops {
@@ -199,7 +199,7 @@
 	}
 }
 
-// takeoverRank is how far down the order of takers of a part a node stands.
+// takeoverRank is how far down the order of takers of a partition a node stands.
 func (c *Core) takeoverRank(p *partition, node string) int {
 	n := len(c.set.Nodes)
 	return (slices.Index(c.set.Nodes, node) - p.idx%n + n) % n
@@ -228,14 +228,14 @@
 	t := &transaction{req: wire.Txn{If: []wire.Guard{{Key: p.key(), Version: p.ver}},
 		Then: []wire.Write{{Put: p.key(), Value: mustJSON(rec), Lease: c.lease}}}}
 	free := func() { p.taking = false; p.freeAt = max(p.freeAt, c.now-Second) }
-	// Held only once the mirror shows it: then it shows all before it too.
+	// Held only once the replica shows it: then it shows all before it too.
 	t.ok = func(uint64) { c.read(func(bool) { free() }) }
 	t.failed = free
 	c.txns = append(c.txns, t)
 	c.sendTxn(t)
 }
 
-// handBack returns a part to the controller that it belongs to by default,
+// handBack returns a partition to the controller that it belongs to by default,
 // once that one has been well for a while.
 func (c *Core) handBack(p *partition) {
 	owner := c.set.Nodes[p.idx%len(c.set.Nodes)]
@@ -246,7 +246,7 @@
 	c.resignPartition(p, "handed back to "+owner)
 }
 
-// resignPartition gives a part up. We stop answering for it before the key goes.
+// resignPartition gives a partition up. We stop answering for it before the key goes.
 func (c *Core) resignPartition(p *partition, why string) {
 	ver := p.ver
 	p.resigned = ver
@@ -255,7 +255,7 @@
 	t := &transaction{ok: func(uint64) {}, failed: func() {}}
 	t.req.If = []wire.Guard{{Key: p.key(), Version: ver}}
 	t.req.Then = []wire.Write{{Delete: p.key()}}
-	p.rec = partitionRecord{} // not ours any more, whatever the mirror still says
+	p.rec = partitionRecord{} // not ours any more, whatever the replica still says
 	c.txns = append(c.txns, t)
 	c.sendTxn(t)
 }
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -13,7 +13,7 @@
 	}
 }
 
-// cycle ranks and places for every part that we hold: every cycle_s, and
+// cycle ranks and places for every partition that we hold: every cycle_s, and
 // early when something arrived or ended.
 func (c *Core) cycle() {
 	if !c.synced || c.now < c.cycleAt && (c.wantCycle == 0 || c.now < c.wantCycle) {
@@ -44,7 +44,7 @@
 	return Second/10 + int64(machines)*Second/2500 + int64(jobs)*Second/2500
 }
 
-// plan makes and carries out one part's plan.
+// plan makes and carries out one partition's plan.
 func (c *Core) plan(p *partition) {
 	v, jobs := c.view(p)
 	plan := sched.Make(v)
@@ -111,7 +111,7 @@
 			continue
 		}
 		if e.Machine.Foreign {
-			c.info("machine asked for", "for", e.For.ID, "machine", m.name, "part", m.rec.Cur, "tasks", len(e.Uses))
+			c.info("machine asked for", "for", e.For.ID, "machine", m.name, "partition", m.rec.Cur, "tasks", len(e.Uses))
 			continue
 		}
 		c.info("room made", "for", e.For.ID, "machine", m.name, "tasks", len(e.Uses))
@@ -122,7 +122,7 @@
 	}
 }
 
-// askOthers asks the other parts for machines of theirs that the part needs.
+// askOthers asks the other partitions for machines of theirs that the partition needs.
 func (c *Core) askOthers(p *partition, plan *sched.Plan, jobs map[string]*job) {
 	for _, m := range plan.Borrow {
 		rec := c.machines[m.Name].rec
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -7,12 +7,12 @@
 // Keys. Everything that is followed lies below Live; the final states of
 // jobs lie apart and are read one by one.
 const (
-	// Live is the prefix of what the mirror follows.
+	// Live is the prefix of what the replica follows.
 	Live         = "live/"
 	adoptKey     = Live + "a"  // changes with every adoption of a stray machine
 	typesKey     = Live + "c"  // the cloud's catalogue, prices as of some time; its further pages below
 	jobKey       = Live + "j/" // one for each unfinished job
-	logKey       = Live + "l/" // PART/SLOT: a part's log of tasks and machines
+	logKey       = Live + "l/" // PART/SLOT: a partition's log of tasks and machines
 	partitionKey = Live + "p/"
 	schemaKey    = Live + "v/" // NODE: the form that its controllers read and write
 	overKey      = "over/"
@@ -43,7 +43,7 @@
 	At    int64  `json:"t,omitzero"` // when; 0: written by the first versions
 }
 
-// logRecord is one entry of a part's log: tasks and machines as they became
+// logRecord is one entry of a partition's log: tasks and machines as they became
 // by it. A slot is written again once all that it alone held was logged anew.
 type logRecord struct {
 	Seq      uint64       `json:"q"`
@@ -53,7 +53,7 @@
 
 // machineRow is a machine's record. Each transfer begins a new epoch, and so
 // does its end: of two rows in different logs the one with the later epoch
-// holds, of the same epoch the one in the log of its current part.
+// holds, of the same epoch the one in the log of its current partition.
 type machineRow struct {
 	Name  string `json:"n"`
 	Type  string `json:"t,omitzero"`
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -60,7 +60,7 @@
 }
 
 // watchFor is how long a watch waits for a change: its answer says how things
-// were no earlier than when it was asked for, and the horizon counts from there.
+// were no earlier than when it was asked for, and the answer deadline counts from there.
 func (c *Core) watchFor() int64 { return max(Second/4, min(2*Second, c.answerDeadline()/6)) }
 
 // readAge is how old a read may be when it is told to a user.
@@ -109,7 +109,7 @@
 				return
 			}
 			c.reset()
-			// Parts last: a log is applied as long as its part is not ours. Its
+			// Parts last: a log is applied as long as its partition is not ours. Its
 			// slots come in no order: rows and runs say which is later.
 			for _, prefix := range []string{adoptKey, typesKey, schemaKey, jobKey, logKey, partitionKey} {
 				for _, it := range l.items {
@@ -122,12 +122,12 @@
 			c.rev = l.rev
 			c.followed(r, began)
 			c.synced = true
-			c.info("mirror read", "revision", c.rev, "keys", len(l.items), "jobs", len(c.jobs), "machines", len(c.machines))
+			c.info("replica read", "revision", c.rev, "keys", len(l.items), "jobs", len(c.jobs), "machines", len(c.machines))
 		})
 	})
 }
 
-// reset forgets the mirror, and with it all that was not committed.
+// reset forgets the replica, and with it all that was not committed.
 func (c *Core) reset() {
 	for _, p := range c.partitions {
 		if p.held {
@@ -142,7 +142,7 @@
 	clear(c.machines)
 	clear(c.jobs)
 	clear(c.needs)
-	c.outcomeUnknown = nil
+	c.needsToRead = nil
 	clear(c.tombstones)
 	clear(c.rows)
 	c.order = nil
@@ -152,7 +152,7 @@
 }
 
 // followed takes in a log of changes that was asked for at a time; it tells
-// whether the mirror is now as new as the answer.
+// whether the replica is now as new as the answer.
 func (c *Core) followed(r *StoreReply, began int64) bool {
 	if r.Status == 410 {
 		c.synced = false
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -6,8 +6,8 @@
 	"spurmoor/internal/wire"
 )
 
-// report answers a worker. Only the holder of the machine's part, within its
-// horizon, answers 200: that keeps the worker's tasks alive.
+// report answers a worker. Only the holder of the machine's partition, within its
+// answer deadline, answers 200: that keeps the worker's tasks alive.
 func (c *Core) report(v ReportReceived) {
 	r := v.Report
 	c.heardAt = c.now
@@ -42,7 +42,7 @@
 	c.answer(v.Req, 200, wire.ReportResponse{Token: c.tokenOf(m), Commands: commands})
 }
 
-// holderElsewhere names the other controller that holds a machine's part; "" if
+// holderElsewhere names the other controller that holds a machine's partition; "" if
 // none is known. Only a controller that has the state service names one: two that
 // had lost it sent workers to each other, by what each knew last, until the leases
 // of seven hundred machines had run out.
@@ -64,7 +64,7 @@
 	case c.mustExpire(m):
 		return "a cancelled task may still start there"
 	case r.Token > c.tokenOf(m):
-		// Someone was entitled after us: our mirror is behind.
+		// Someone was entitled after us: our replica is behind.
 		c.read(func(bool) {})
 		return "not entitled"
 	case !m.newer(r):
@@ -74,7 +74,7 @@
 }
 
 // mustExpire tells whether a machine is to lose its lease for a job that was
-// cancelled a horizon ago: a direct start of it there had no answer and is not
+// cancelled an answer deadline ago: a direct start of it there had no answer and is not
 // ruled out by a higher token, for that needs the state service. Everything else
 // that must stop is told with each answer that renews the lease.
 func (c *Core) mustExpire(m *machine) bool {
@@ -290,7 +290,7 @@
 	case t == nil || t.state != placed || t.machine != in.m.name || t.attempt != tr.Attempt:
 		in.unrecorded(j, id, tr)
 	case j.partition != in.m.rec.Cur:
-		// Only its own part's holder acts on a task.
+		// Only its own partition's holder acts on a task.
 	default:
 		in.recorded(j, id, t, tr)
 	}
--- a/internal/core/promise.go
+++ b/internal/core/reservation.go
@@ -5,7 +5,7 @@
 	"spurmoor/internal/wire"
 )
 
-// reserveAhead works out, for all parts, which machines are kept for gangs of which
+// reserveAhead works out, for all partitions, which machines are kept for gangs of which
 // nothing runs though a quarter of begin_within_s is over. Until half of it is,
 // only for those that can't have their machines sooner by stopping others.
 func (c *Core) reserveAhead() {
@@ -64,7 +64,7 @@
 	return c.now >= j.from()+secs(c.set.Ops.BeginWithinS/4)
 }
 
-// reservableMachines shows the machines of all parts that may be promised.
+// reservableMachines shows the machines of all partitions that may be promised.
 func (c *Core) reservableMachines() []*sched.Machine {
 	var list []*sched.Machine
 	for _, m := range c.order {
@@ -72,7 +72,7 @@
 			continue
 		}
 		sm := c.machineView(m)
-		// Whether another's machine is up is not in the mirror: by its age.
+		// Whether another's machine is up is not in the replica: by its age.
 		sm.Usable = m.upAt > 0 || c.heldPartition(m) == nil && (len(m.tasksOn) > 0 || c.now > m.bornAt+secs(1.5*m.typ.BootS))
 		sm.ReadyAt = max(c.now, m.bornAt+secs(m.typ.BootS))
 		c.uses(sm, m, nil)
@@ -81,7 +81,7 @@
 	return list
 }
 
-// reservedFor is the part whose gang a machine is kept for; -1: none.
+// reservedFor is the partition whose gang a machine is kept for; -1: none.
 func (c *Core) reservedFor(m *machine) int {
 	if pr, ok := c.reserved[m.name]; ok {
 		if j := c.jobs[pr.Job.ID]; j != nil && j.nPlaced+j.nDone == 0 && !j.cancelled && !j.over {
@@ -93,7 +93,7 @@
 
 // keepReservation empties a machine that is kept for a gang that is due, where what
 // runs is of a lower tier and the gang's other machines are about ready, and
-// lends it to the gang's part.
+// lends it to the gang's partition.
 func (c *Core) keepReservation(m *machine) {
 	pr := c.reserved[m.name]
 	to := c.reservedFor(m)
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -24,7 +24,7 @@
 	}
 	up, idle, on := c.countMachines()
 	waiting, held := c.countWaiting()
-	c.info("summary", "parts", parts, "machines_up", up, "machines_idle", idle, "tasks_on", on, "jobs", len(c.jobs), "jobs_waiting", waiting, "jobs_waiting_for_jobs", held, "revision", c.rev)
+	c.info("summary", "partitions", parts, "machines_up", up, "machines_idle", idle, "tasks_on", on, "jobs", len(c.jobs), "jobs_waiting", waiting, "jobs_waiting_for_jobs", held, "revision", c.rev)
 	named := map[string]int{}
 	for _, id := range sorted(c.why) {
 		j := c.jobs[id]
--- a/internal/core/txn.go
+++ b/internal/core/txn.go
@@ -10,7 +10,7 @@
 	next   int64
 	out    bool
 	tries  int
-	settle bool // refused: the mirror is to be read before it fails
+	settle bool // refused: the replica is to be read before it fails
 	bad    bool // refused as malformed: too large, perhaps
 	ok     func(rev uint64)
 	failed func()
@@ -30,7 +30,7 @@
 			t.ok(r.Txn.Revision)
 		case 409, 400:
 			// An earlier copy without an answer may have been carried out:
-			// the mirror tells, once it is newer than this refusal.
+			// the replica tells, once it is newer than this refusal.
 			if r.Status == 400 {
 				c.fault("transaction malformed", "error", r.Txn.Error)
 				t.bad = true
--- a/internal/core/urgency.go
+++ b/internal/core/urgency.go
@@ -12,7 +12,7 @@
 	due  sched.Due
 }
 
-// urgencies works out every job's, by the mirror.
+// urgencies works out every job's, by the replica.
 func (c *Core) urgencies() {
 	c.urgent = map[string]urgency{}
 	slowest := c.slowest()
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -16,7 +16,7 @@
 	known
 )
 
-// applyOwn takes in what we wrote, unless the mirror is past it already: the
+// applyOwn takes in what we wrote, unless the replica is past it already: the
 // key may have been deleted since.
 func (c *Core) applyOwn(key string, value []byte, rev uint64) {
 	if rev > c.rev {
@@ -125,8 +125,8 @@
 	if len(mustJSON(jobRecord{Spec: without(*spec), At: c.now})) > c.maxValue() {
 		return &refusal{400, "the job's description is too long", 0}
 	}
-	if o, _ := c.knownOutcome(spec.ID); o != unsure {
-		// Known by the mirror: a transaction that is sure to fail would count
+	if o, _ := c.knownOutcome(spec.ID); o != outcomeUnknown {
+		// Known by the replica: a transaction that is sure to fail would count
 		// as a change all the same.
 		return &refusal{503, "the state service is busy", 1}
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -9,17 +9,17 @@
 	"spurmoor/internal/wire"
 )
 
-// viewer shows one part to the planner.
+// viewer shows one partition to the planner.
 type viewer struct {
 	*Core
 	p     *partition
 	view  *sched.View
 	jobs  map[string]*job
 	shown map[string]*sched.Job
-	price []float64 // of the machines that each part has
+	price []float64 // of the machines that each partition has
 }
 
-// view shows a part to the planner.
+// view shows a partition to the planner.
 func (c *Core) view(p *partition) (*sched.View, map[string]*job) {
 	v := &viewer{Core: c, p: p, jobs: map[string]*job{}, shown: map[string]*sched.Job{}, price: make([]float64, len(c.partitions)),
 		view: &sched.View{Now: c.now, Types: c.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Kind]bool{}, Ops: &c.set.Ops, Aims: map[string][]settings.Objective{}}}
@@ -56,7 +56,7 @@
 	}
 }
 
-// addJobs shows the part's jobs that may run.
+// addJobs shows the partition's jobs that may run.
 func (v *viewer) addJobs() {
 	for _, id := range sorted(v.Core.jobs) {
 		j := v.Core.jobs[id]
@@ -73,7 +73,7 @@
 	}
 }
 
-// addMachine shows a machine if it is any use to the part.
+// addMachine shows a machine if it is any use to the partition.
 func (v *viewer) addMachine(m *machine) {
 	sm := v.machineView(m)
 	if to := v.reservedFor(m); to >= 0 {
@@ -105,7 +105,7 @@
 	}
 }
 
-// foreign shows another part's machine; it tells whether that is any use.
+// foreign shows another partition's machine; it tells whether that is any use.
 func (v *viewer) foreign(m *machine, sm *sched.Machine) bool {
 	switch {
 	case v.idleAbroad(m.name):
@@ -130,7 +130,7 @@
 	return true
 }
 
-// own shows a machine of the part; it tells whether it has room, or will have.
+// own shows a machine of the partition; it tells whether it has room, or will have.
 func (v *viewer) own(m *machine, sm *sched.Machine) bool {
 	if m.busy() || m.moveTo >= 0 {
 		return false
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,7 +16,7 @@
 	Machine string
 }
 
-// Ask wants a machine moved to a part: an idle one borrowed, a home machine
+// Ask wants a machine moved to a partition: an idle one borrowed, a home machine
 // reclaimed as its tasks end, or one all of whose tasks may be stopped for a
 // job of this tier, within its team's guarantee or not, or of a lent tier.
 type Ask struct {
--- a/internal/sched/evict.go
+++ b/internal/sched/evict.go
@@ -216,7 +216,7 @@
 	if m.Foreign {
 		if len(c.uses) < len(uses) || len(uses) == 0 {
 			// It moves only empty; and one that is empty but not offered
-			// is being kept for another job: two parts took it from
+			// is being kept for another job: two partitions took it from
 			// each other, stopping what it ran each time.
 			return clearing{}, false
 		}
--- a/internal/sched/rank.go
+++ b/internal/sched/rank.go
@@ -28,7 +28,7 @@
 // ranking is what the scores of a plan's jobs have in common.
 type ranking struct {
 	*planner
-	total   Res // of the part's machines
+	total   Res // of the partition's machines
 	zones   int
 	backlog float64
 	typical float64                 // work of the average array that waits
@@ -98,7 +98,7 @@
 }
 
 // deficit is how much of its target share a job's team lacks. The target is its
-// guarantee; without one, an equal share of the part.
+// guarantee; without one, an equal share of the partition.
 func (r *ranking) deficit(j *Job) float64 {
 	t := r.Teams[j.Spec.Team]
 	if t == nil {
@@ -185,7 +185,7 @@
 	return float64(lost) / math.Max(1, float64(n))
 }
 
-// drain is how long the whole part would be busy with what waits of a job, in
+// drain is how long the whole partition would be busy with what waits of a job, in
 // seconds.
 func (j *Job) drain(part Res) float64 {
 	share := 0.0
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -43,9 +43,9 @@
 	total    int          // machines to rent in all
 	virtual  []*Machine   // all machines, with those to be rented
 	borrowed map[*Machine]bool
-	own      Res   // of the part's machines
+	own      Res   // of the partition's machines
 	far      int64 // how far ahead room is dealt out
-	queue    int64 // how long what finds no room keeps the part busy
+	queue    int64 // how long what finds no room keeps the partition busy
 }
 
 // serve finds room for what a job lacks, now or soon, or rents it.
@@ -168,7 +168,7 @@
 func (p *planner) serves(j *Job, m *Machine) bool {
 	// Exception: home jobs that wait do not always reclaim, and a borrower's
 	// work is stopped for them only where PROTOCOL's preemption permits it;
-	// else the machine comes back as its tasks end. Where all parts are
+	// else the machine comes back as its tasks end. Where all partitions are
 	// overloaded it only moved machines, and their work, in circles.
 	if m.Lent && !m.Fair && !p.guaranteed(j) {
 		return false
--- a/internal/sched/promise.go
+++ b/internal/sched/reservation.go
@@ -16,11 +16,11 @@
 	At  int64
 }
 
-// ReserveAhead deals machines of all parts out to the gangs that are due, oldest
+// ReserveAhead deals machines of all partitions out to the gangs that are due, oldest
 // first: to each those of one zone, where it must be in one, that empty
-// soonest. Exception: a part seldom holds eight machines of a zone, nothing may
+// soonest. Exception: a partition seldom holds eight machines of a zone, nothing may
 // be stopped for work of the same tier, and so the largest gangs waited until
-// the rest was done. Every controller works it out for itself from the mirror
+// the rest was done. Every controller works it out for itself from the replica
 // and keeps to it with its own machines; none has to ask. When they asked for
 // machines one by one, several gangs of eight each held some, waited for the
 // rest, and none began. A gang accepted after old is promised nothing that it can
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -53,7 +53,7 @@
 	New     bool  // started so lately that stopping it undoes the start
 }
 
-// Machine is a machine of the part.
+// Machine is a machine of the partition.
 type Machine struct {
 	Name        string
 	Type        *wire.MachineType
@@ -63,9 +63,9 @@
 	Free        Res
 	Usable      bool  // may be given tasks now
 	ReadyAt     int64 // of a booting machine: when it is expected
-	Borrowable  bool  // another part's idle machine: may be asked for
-	Foreign     bool  // another part's, at work: may be asked for if all its tasks may be stopped
-	Lent        bool  // ours by home, at work for another part
+	Borrowable  bool  // another partition's idle machine: may be asked for
+	Foreign     bool  // another partition's, at work: may be asked for if all its tasks may be stopped
+	Lent        bool  // ours by home, at work for another partition
 	Fair        bool  // of a Lent one: its borrower uses far more than we do
 	Claim       string
 	Reservation *AdvanceReservation // to a gang that is due, of whatever part
@@ -78,7 +78,7 @@
 // Has tells whether the machine need not fetch an image.
 func (m *Machine) Has(image string) bool { return slices.Contains(m.Images, image) }
 
-// Job is an unfinished job of the part.
+// Job is an unfinished job of the partition.
 type Job struct {
 	ID            string
 	Spec          *wire.Job
@@ -108,7 +108,7 @@
 // Latest is when a job must be done.
 func (d Due) Latest() int64 { return d.At + int64((d.S-d.After)*float64(Second)) }
 
-// Team is a team's share of the part.
+// Team is a team's share of the partition.
 type Team struct {
 	Used, Guarantee, Limit Res // a zero amount in Limit or Guarantee: none
 	reserved               Res // of the limit, for gangs that it keeps waiting
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -155,7 +155,7 @@
 type Settings struct {
 	Platform
 	Ops Operators
-	// TeamPartition deals each team to a part.
+	// TeamPartition deals each team to a partition.
 	TeamPartition map[string]int
 	// Nodes lists every controller by name, in order.
 	Nodes []string
@@ -270,8 +270,8 @@
 	return s, nil
 }
 
-// deal spreads the teams over the parts, largest guarantee first, each to
-// the part with the least so far.
+// deal spreads the teams over the partitions, largest guarantee first, each to
+// the partition with the least so far.
 func (s *Settings) deal() {
 	teams := slices.Clone(s.Facts.Teams)
 	size := func(t Team) float64 { return t.GPUs*6 + t.CPUs }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -110,7 +110,7 @@
 	})
 }
 
-// TestHorizon guards that a task kept alive by the last answer within the horizon
+// TestHorizon guards that a task kept alive by the last answer within the answer deadline
 // is gone before cancel_s, by a slow clock too, and that settings which leave little
 // of it are named.
 func TestHorizon(t *testing.T) {
--- a/internal/rehearsal/checker.go
+++ b/internal/simulation/checker.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"fmt"
--- a/internal/rehearsal/digest_test.go
+++ b/internal/simulation/digest_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"crypto/sha256"
--- a/internal/rehearsal/loopback_test.go
+++ b/internal/simulation/loopback_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"bytes"
@@ -530,7 +530,7 @@
 
 func (l *lines) Write(b []byte) (int, error) {
 	l.l.lent.Add(int32(bytes.Count(b, []byte("machine lent"))))
-	if os.Getenv("REHEARSAL_LOG") != "" {
+	if os.Getenv("SIMULATION_LOG") != "" {
 		l.l.t.Logf("%s %s", l.name, bytes.TrimSpace(b))
 	}
 	return len(b), nil
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/simulation/rehearsal_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"os"
@@ -31,17 +31,17 @@
 }
 
 // TestSeeds plays the random day with faults drawn from many seeds: 20, or
-// as many as REHEARSAL_SEEDS says.
+// as many as SIMULATION_SEEDS says.
 func TestSeeds(t *testing.T) { playSeeds(t, "testdata/random_1.toml", 1000, 20) }
 
 // TestSlowSeeds is TestSeeds on days on which links are slow now and then.
 func TestSlowSeeds(t *testing.T) { playSeeds(t, "testdata/random_slow_links.toml", 5000, 10) }
 
 // playSeeds plays a random day from many seeds: so many, or as many as
-// REHEARSAL_SEEDS says.
+// SIMULATION_SEEDS says.
 func playSeeds(t *testing.T, file string, first, seeds int) {
 	t.Helper()
-	if v := os.Getenv("REHEARSAL_SEEDS"); v != "" {
+	if v := os.Getenv("SIMULATION_SEEDS"); v != "" {
 		n, err := strconv.Atoi(v)
 		if err != nil {
 			t.Fatal(err)
@@ -73,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if dir := os.Getenv("REHEARSAL_LOG"); dir != "" {
+	if dir := os.Getenv("SIMULATION_LOG"); dir != "" {
 		name := filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "_")+".log")
 		if err := os.WriteFile(name, []byte(strings.Join(w.Log, "\n")), 0o644); err != nil {
 			t.Fatal(err)
--- a/internal/rehearsal/scenario.go
+++ b/internal/simulation/scenario.go
@@ -1,8 +1,8 @@
-// Package rehearsal plays days in simulated time: the cores of several
+// Package simulation plays days in simulated time: the cores of several
 // controllers against stand-ins of the state service, the cloud, the workers
 // and the users, with troubles at set times. A checker that shares nothing
 // with the core watches the rules of PROTOCOL.
-package rehearsal
+package simulation
 
 import (
 	"bytes"
@@ -118,7 +118,7 @@
 	Kind string  `toml:"kind"`
 	Node int     `toml:"node"`
 	Hold bool    `toml:"hold"` // packets are delivered after the cut
-	Part int     `toml:"part"` // instead of Node: the part's holder, counted from 1
+	Part int     `toml:"part"` // instead of Node: the partition's holder, counted from 1
 	// Count is how many machines it befalls, those with most tasks first.
 	Count int    `toml:"count"`
 	Zone  string `toml:"zone"` // where those machines are, or which zone is cut off
@@ -178,7 +178,7 @@
 
 var zones = []string{"alta", "baja"}
 
-// partOf gives the part that a user's team is dealt to.
+// partOf gives the partition that a user's team is dealt to.
 func (s *Scenario) partOf(u *user) int {
 	set, err := s.settingsFor(0, false)
 	if err != nil {
--- a/internal/rehearsal/troubles.go
+++ b/internal/simulation/troubles.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"fmt"
@@ -106,7 +106,7 @@
 	})
 }
 
-// led notes that a part has another holder: what was kept for it arrives now,
+// led notes that a partition has another holder: what was kept for it arrives now,
 // before its workers' first words.
 func (w *World) led(key string, value []byte) {
 	if !strings.HasPrefix(key, "live/p/") || w.leader[key] == string(value) {
--- a/internal/rehearsal/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -1,6 +1,6 @@
 //go:build upgrade
 
-package rehearsal
+package simulation
 
 import (
 	"os"
@@ -18,7 +18,7 @@
 // directions, machines lent across and the limits of the state service lowered
 // at the end. It needs the history, so CI does not run it:
 //
-//	go test -tags upgrade -run TestUpgrade ./internal/rehearsal
+//	go test -tags upgrade -run TestUpgrade ./internal/simulation
 func TestUpgrade(t *testing.T) {
 	sc, err := Parse([]byte(`lease_s = 6
 cancel_s = 14
@@ -63,7 +63,7 @@
 	for i := range 3 {
 		l.ready(i)
 	}
-	// Long work in every part, gangs of whole machines, a cancellation; of all
+	// Long work in every partition, gangs of whole machines, a cancellation; of all
 	// that runs meanwhile nothing may be lost or run twice.
 	n := 0
 	var ids []string
@@ -93,7 +93,7 @@
 	for i := range 3 {
 		l.kill(i)
 		burst()
-		// Another's version takes the part over: the old one's here first,
+		// Another's version takes the partition over: the old one's here first,
 		// then the new one's of what an old one held.
 		l.until("another holds the part of "+nodeName(i), func() bool { h := holder(i); return h >= 0 && h != i })
 		if i == 1 { // dies before its turn, and comes back old once more
--- a/internal/rehearsal/world.go
+++ b/internal/simulation/world.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"container/heap"
@@ -285,7 +285,7 @@
 	})
 }
 
-// holder tells which node the state service names as a part's holder.
+// holder tells which node the state service names as a partition's holder.
 func (w *World) holder(part int) *node {
 	v := w.store.keys[fmt.Sprintf("live/p/%d", part)]
 	for _, n := range w.nodes {
