Tasks on machines that will be taken are told to save in an outage as well

Change: only judgements need the lease (a machine's lease that ran out, and its return); notices, moves and claims go on as before.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -73,9 +73,6 @@
 	}
 	cut := up >= 2 && silent*2 > up
 	c.stepDown(up)
-	if !c.leaseValid() {
-		return // another controller may hold our partitions by now
-	}
 	for _, m := range c.order {
 		if c.heldPartition(m) != nil {
 			c.keepMachine(m, cut)
@@ -108,9 +105,12 @@
 func (c *Core) reportDue() int64 { return secs(1.25*c.set.Facts.Workers.ReportS) + Second }
 
 // keepMachine looks after one machine of ours. cut: most machines are silent, so
-// that silence says nothing of a single one.
+// that silence says nothing of a single one. Without a lease that is known to hold no
+// machine is judged, for another controller may have it by now; but tasks on one that
+// will be taken are told to save in an outage as well.
 func (c *Core) keepMachine(m *machine, cut bool) {
-	if c.now > m.deadAt && len(m.tasksOn) > 0 {
+	judges := c.leaseValid()
+	if judges && c.now > m.deadAt && len(m.tasksOn) > 0 {
 		c.info("machine's lease ran out", "machine", m.name, "tasks", len(m.tasksOn))
 		c.clearMachine(m, "its lease ran out")
 	}
@@ -119,7 +119,7 @@
 		return
 	}
 	c.keepRecord(m)
-	if why := c.removalReason(m, cut); why != "" {
+	if why := c.removalReason(m, cut); judges && why != "" {
 		c.remove(m, why)
 	} else {
 		c.keepUse(m)
