--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/url"
 	"time"
 
@@ -11,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"spurmoor/internal/core"
+	"spurmoor/internal/jsonhttp"
 	"spurmoor/internal/settings"
 	"spurmoor/internal/wire"
 )
@@ -35,50 +37,45 @@
 	}
 }
 
+// answerWait is the time for an answer, and for the budget before it.
+const answerWait = 5 * time.Second
+
+// pageSize is how many machines are listed at a time.
+const pageSize = "500"
+
 // Do carries out a call and gives the answer; status 0: none came.
 func (c *Client) Do(call core.CloudCall) *core.CloudReply {
 	r := &core.CloudReply{Call: call.Call}
-	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	ctx, stop := context.WithTimeout(context.Background(), answerWait)
 	defer stop()
 	if c.reqs.Wait(ctx) != nil {
-		r.Status = 429
+		r.Status = fasthttp.StatusTooManyRequests
 		return r
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	uri := ""
-	var body any
+	err := jsonhttp.Do(c.http, request(call), func(status int, body []byte) error { return decode(call, status, body, r) })
+	var none *jsonhttp.NoAnswer
+	if err != nil && !errors.As(err, &none) {
+		c.bad("cloud", err)
+	}
+	return r
+}
+
+// request gives the request of a call.
+func request(call core.CloudCall) jsonhttp.Request {
+	r := jsonhttp.Request{Wait: answerWait}
 	switch call.Op {
 	case core.OpCatalog:
-		uri = "/catalog"
+		r.URI = "/catalog"
 	case core.OpRent:
-		uri, body = "/machines", call.Rent
+		r.URI, r.Body = "/machines", call.Rent
 	case core.OpDelete:
-		uri, body = "/machines/delete", wire.Names{Machines: call.Names}
+		r.URI, r.Body = "/machines/delete", wire.Names{Machines: call.Names}
 	case core.OpMachines:
-		q := url.Values{"Most": {"500"}}
+		query := url.Values{"Most": {pageSize}}
 		if call.After != "" {
-			q.Set("Since", call.After)
+			query.Set("Since", call.After)
 		}
-		uri = "/machines?" + q.Encode()
-	}
-	req.SetRequestURI(uri)
-	req.Header.SetHost(c.http.Addr)
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return r
-		}
-		req.Header.SetMethod("POST")
-		req.Header.SetContentType("application/json")
-		req.SetBody(b)
-	}
-	if err := c.http.DoTimeout(req, resp, 5*time.Second); err != nil {
-		return r
-	}
-	if err := decode(call, resp.StatusCode(), resp.Body(), r); err != nil {
-		c.bad("cloud", err)
+		r.URI = "/machines?" + query.Encode()
 	}
 	return r
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -330,63 +330,79 @@
 // public serves users, workers and health checks.
 func (s *Server) public(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	method := "GET"
-	var handle func(req uint64) any
-	in := s.inputs
 	switch {
 	case path == "/ready":
-		in = s.first
-		handle = func(req uint64) any { return core.Ready{Req: req} }
+		s.serve(ctx, fasthttp.MethodGet, s.first, func(req uint64) any { return core.Ready{Req: req} })
 	case path == "/work":
-		method = "POST"
-		handle = func(req uint64) any { return core.Submit{Req: req, Body: append([]byte(nil), ctx.PostBody()...)} }
+		s.serve(ctx, fasthttp.MethodPost, s.inputs, func(req uint64) any {
+			return core.Submit{Req: req, Body: append([]byte(nil), ctx.PostBody()...)}
+		})
 	case path == "/v1/report":
-		method = "POST"
-		if string(ctx.Method()) != method {
-			break
-		}
-		r, err := wire.ParseReport(ctx.PostBody())
-		if err != nil {
-			s.unreadable("worker", err)
-			respond(ctx, core.Answer{Status: 400, Body: wire.Error{Error: err.Error()}})
-			return
-		}
-		if int(s.open()) > s.set.Sockets.Crowded {
-			// A worker asks again within seconds; users must find room, and so
-			// must more workers than there are sockets.
-			ctx.SetConnectionClose()
-			if !s.crowded.Swap(true) {
-				s.log.Warn("sockets are short: workers' connections last for one report", "open", s.open(), "max_connections", s.set.Facts.Limits.MaxConnections)
-			}
-		}
-		handle = func(req uint64) any { return core.ReportIn{Req: req, Report: r} }
+		s.report(ctx)
 	case strings.HasPrefix(path, "/why/"):
 		id := path[len("/why/"):]
-		handle = func(req uint64) any { return core.Explain{Req: req, ID: id} }
+		s.serve(ctx, fasthttp.MethodGet, s.inputs, func(req uint64) any { return core.Explain{Req: req, ID: id} })
 	case strings.HasPrefix(path, "/work/"):
-		id, cancel := strings.CutSuffix(path[len("/work/"):], "/cancel")
-		if cancel {
-			method = "POST"
-			handle = func(req uint64) any { return core.Cancel{Req: req, ID: id} }
-		} else if !strings.Contains(id, "/") {
-			handle = func(req uint64) any { return core.Poll{Req: req, ID: id} }
-		} else {
-			method = ""
-		}
+		s.job(ctx, path[len("/work/"):])
 	default:
-		method = ""
+		noSuchPath(ctx)
 	}
+}
+
+// job serves what is asked of one job.
+func (s *Server) job(ctx *fasthttp.RequestCtx, rest string) {
+	id, cancel := strings.CutSuffix(rest, "/cancel")
 	switch {
-	case method == "":
-		respond(ctx, core.Answer{Status: 404, Body: wire.Error{Error: "no such path"}})
-	case string(ctx.Method()) != method:
-		ctx.Response.Header.Set("Allow", method)
-		respond(ctx, core.Answer{Status: 405, Body: wire.Error{Error: "wrong method"}})
+	case cancel:
+		s.serve(ctx, fasthttp.MethodPost, s.inputs, func(req uint64) any { return core.Cancel{Req: req, ID: id} })
+	case strings.Contains(id, "/"):
+		noSuchPath(ctx)
 	default:
-		s.ask(ctx, in, handle)
+		s.serve(ctx, fasthttp.MethodGet, s.inputs, func(req uint64) any { return core.Poll{Req: req, ID: id} })
 	}
 }
 
+// report serves a worker's report.
+func (s *Server) report(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		wrongMethod(ctx, fasthttp.MethodPost)
+		return
+	}
+	r, err := wire.ParseReport(ctx.PostBody())
+	if err != nil {
+		s.unreadable("worker", err)
+		respond(ctx, core.Answer{Status: 400, Body: wire.Error{Error: err.Error()}})
+		return
+	}
+	if int(s.open()) > s.set.Sockets.Crowded {
+		// A worker asks again within seconds; users must find room, and so
+		// must more workers than there are sockets.
+		ctx.SetConnectionClose()
+		if !s.crowded.Swap(true) {
+			s.log.Warn("sockets are short: workers' connections last for one report", "open", s.open(), "max_connections", s.set.Facts.Limits.MaxConnections)
+		}
+	}
+	s.ask(ctx, s.inputs, func(req uint64) any { return core.ReportIn{Req: req, Report: r} })
+}
+
+// serve asks the core, if the method is the right one.
+func (s *Server) serve(ctx *fasthttp.RequestCtx, method string, in chan input, handle func(req uint64) any) {
+	if string(ctx.Method()) != method {
+		wrongMethod(ctx, method)
+		return
+	}
+	s.ask(ctx, in, handle)
+}
+
+func wrongMethod(ctx *fasthttp.RequestCtx, right string) {
+	ctx.Response.Header.Set("Allow", right)
+	respond(ctx, core.Answer{Status: 405, Body: wire.Error{Error: "wrong method"}})
+}
+
+func noSuchPath(ctx *fasthttp.RequestCtx) {
+	respond(ctx, core.Answer{Status: 404, Body: wire.Error{Error: "no such path"}})
+}
+
 // internal serves the other controllers.
 func (s *Server) internal(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != "/peer" {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"spurmoor/internal/core"
+	"spurmoor/internal/jsonhttp"
 	"spurmoor/internal/settings"
 	"spurmoor/internal/wire"
 )
@@ -69,92 +70,99 @@
 func (c *Client) Do(call core.StoreCall) *core.StoreReply {
 	r := &core.StoreReply{Call: call.Call}
 	if !c.admit(call) {
-		r.Status = 429
+		r.Status = fasthttp.StatusTooManyRequests
 		return r
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	wait := 2500 * time.Millisecond
-	req.Header.SetMethod("GET")
-	uri := ""
-	var body any
+	client := c.http
+	if call.Urgent {
+		client = c.urgent
+	}
+	err := jsonhttp.Do(client, request(call), func(status int, body []byte) error { return decode(call, status, body, r) })
+	var none *jsonhttp.NoAnswer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		c.bad("state service", err)
+		if call.Op == core.OpFollow {
+			r.Status = fasthttp.StatusGone // asked again it would be larger still: read by pages instead
+		}
+	case err != nil && !errors.As(err, &none):
+		c.bad("state service", err)
+	}
+	return r
+}
+
+// Time for an answer: a renewal that takes longer is sent again.
+const (
+	answerWait  = 2500 * time.Millisecond
+	renewalWait = 1500 * time.Millisecond
+)
+
+// pageSize is how many keys are listed at a time.
+const pageSize = "500"
+
+// request gives the request of a call.
+func request(call core.StoreCall) jsonhttp.Request {
+	r := jsonhttp.Request{Wait: answerWait}
 	switch call.Op {
 	case core.OpGet:
-		uri = "/store/" + call.Key
+		r.URI = "/store/" + call.Key
 	case core.OpList:
-		uri = "/store?" + url.Values{"Under": {core.Live}, "Since": {call.Key}, "Most": {"500"}}.Encode()
-		if call.Key == "" {
-			uri = "/store?" + url.Values{"Under": {core.Live}, "Most": {"500"}}.Encode()
+		query := url.Values{"Under": {core.Live}, "Most": {pageSize}}
+		if call.Key != "" {
+			query.Set("Since", call.Key)
 		}
+		r.URI = "/store?" + query.Encode()
 	case core.OpTxn:
-		uri, body = "/txn", call.Txn
+		r.URI, r.Body = "/txn", call.Txn
 	case core.OpHold:
-		uri, body = "/holds", wire.Hold{TTLMs: call.TTLMs}
+		r.URI, r.Body = "/holds", wire.Hold{TTLMs: call.TTLMs}
 	case core.OpExtend:
-		uri, body = "/holds/"+strconv.FormatUint(call.Lease, 10)+"/extend", struct{}{}
-		wait = 1500 * time.Millisecond
+		r.URI, r.Body = "/holds/"+strconv.FormatUint(call.Lease, 10)+"/extend", struct{}{}
+		r.Wait = renewalWait
 	case core.OpFollow:
-		uri = "/follow?" + url.Values{"Under": {core.Live}, "Since": {strconv.FormatUint(call.Since, 10)},
-			"BlockMs": {strconv.Itoa(call.WaitMs)}}.Encode()
-		wait += time.Duration(call.WaitMs) * time.Millisecond
-	}
-	req.SetRequestURI(uri)
-	req.Header.SetHost(c.http.Addr)
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return r
-		}
-		req.Header.SetMethod("POST")
-		req.Header.SetContentType("application/json")
-		req.SetBody(b)
-	}
-	client := c.http
-	if call.Urgent {
-		client = c.urgent
-	}
-	if err := client.DoTimeout(req, resp, wait); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			c.bad("state service", err)
-			if call.Op == core.OpFollow {
-				r.Status = 410 // asked again it would be larger still: read by pages instead
-			}
-		}
-		return r
-	}
-	if err := decode(call, resp.StatusCode(), resp.Body(), r); err != nil {
-		c.bad("state service", err)
+		query := url.Values{"Under": {core.Live}, "Since": {strconv.FormatUint(call.Since, 10)}, "BlockMs": {strconv.Itoa(call.WaitMs)}}
+		r.URI = "/follow?" + query.Encode()
+		r.Wait += time.Duration(call.WaitMs) * time.Millisecond
 	}
 	return r
 }
 
 // decode reads an answer. One that can't be read counts as none.
 func decode(call core.StoreCall, status int, body []byte, r *core.StoreReply) error {
-	var to any
 	var hold wire.HoldResult
-	switch {
-	case call.Op == core.OpTxn && (status == 200 || status == 409 || status == 400):
-		to = &r.Txn
-	case status != 200:
-	case call.Op == core.OpGet:
-		to = &r.Item
-	case call.Op == core.OpList:
-		to = &r.Items
-	case call.Op == core.OpHold:
-		to = &hold
-	case call.Op == core.OpFollow:
-		to = &r.Follow
-	}
-	if to != nil {
+	if to := target(call.Op, status, r, &hold); to != nil {
 		if err := json.Unmarshal(body, to); err != nil {
 			return err
 		}
 	}
 	r.Lease = hold.Lease
-	if status == 200 && (call.Op == core.OpTxn && r.Txn.Revision == 0 || call.Op == core.OpHold && r.Lease == 0) {
+	unnumbered := call.Op == core.OpTxn && r.Txn.Revision == 0 || call.Op == core.OpHold && r.Lease == 0
+	if status == fasthttp.StatusOK && unnumbered {
 		return errors.New("an answer of 200 without its number")
 	}
 	r.Status = status
 	return nil
 }
+
+// target is what an answer's body is read into; nil: it is not looked at.
+func target(op core.StoreOp, status int, r *core.StoreReply, hold *wire.HoldResult) any {
+	if op == core.OpTxn && (status == fasthttp.StatusConflict || status == fasthttp.StatusBadRequest) {
+		return &r.Txn
+	}
+	if status != fasthttp.StatusOK {
+		return nil
+	}
+	switch op {
+	case core.OpTxn:
+		return &r.Txn
+	case core.OpGet:
+		return &r.Item
+	case core.OpList:
+		return &r.Items
+	case core.OpHold:
+		return hold
+	case core.OpFollow:
+		return &r.Follow
+	}
+	return nil
+}
