--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,194 +23,91 @@
 // Second is one second in whole microseconds.
 const Second = sched.Second
 
-// Inputs to Step. Now comes with Step; Status 0 means that no response came.
-type (
-	// Tick lets time pass.
-	Tick struct{}
-	// Submit is POST /work.
-	Submit struct {
-		Req  uint64
-		Body []byte
-	}
-	// Poll is GET /work/{id}.
-	Poll struct {
-		Req uint64
-		ID  string
-	}
-	// Cancel is POST /work/{id}/cancel.
-	Cancel struct {
-		Req uint64
-		ID  string
-	}
-	// Explain is GET /why/{id}.
-	Explain struct {
-		Req uint64
-		ID  string
-	}
-	// Ready is GET /ready.
-	Ready struct{ Req uint64 }
-	// ReportReceived is a worker's report.
-	ReportReceived struct {
-		Req    uint64
-		Report *wire.Report
-	}
-	// CommandsAnswered answers a Push.
-	CommandsAnswered struct {
-		Machine string
-		Token   uint64
-		Starts  bool
-		Unsent  bool // too many were out: nothing left this process
-		Status  int
-		Report  *wire.Report
-	}
-	// StoreReply answers a StoreCall.
-	StoreReply struct {
-		Call   uint64
-		Status int
-		Item   wire.Item
-		Items  wire.Items
-		Txn    wire.TxnResult
-		Follow wire.WatchResponse
-		Lease  uint64
-	}
-	// CloudReply answers a CloudCall.
-	CloudReply struct {
-		Call     uint64
-		Status   int
-		Catalog  wire.Catalog
-		Names    []string
-		Machines wire.MachineList
-	}
-	// HeartbeatReceived is a message of another controller.
-	HeartbeatReceived struct{ Heartbeat *peer.Heartbeat }
-)
-
-// Effects of Step.
-type (
-	// Answer answers a request of a user, worker or health check.
-	Answer struct {
-		Req        uint64
-		Status     int
-		Body       any
-		RetryAfter int
-	}
-	// StoreCall is a request to the state service.
-	StoreCall struct {
-		Call   uint64
-		Op     StoreOp
-		Key    string // get, list (after), extend (unused)
-		Since  uint64
-		WaitMs int
-		Lease  uint64
-		TTLMs  int64
-		Txn    *wire.Txn
-		Urgent bool // lease renewals: not held back by the budget
-	}
-	// CloudCall is a request to the cloud.
-	CloudCall struct {
-		Call  uint64
-		Op    CloudOp
-		Rent  *wire.Rent
-		Names []string
-		After string
-	}
-	// SendCommands sends commands to a worker directly.
-	SendCommands struct {
-		Machine string
-		Addr    string
-		Starts  bool // it starts tasks
-		Body    wire.CommandRequest
-	}
-	// Broadcast sends a message to every other controller.
-	Broadcast struct{ Heartbeat *peer.Heartbeat }
-	// Log is a line for the log.
-	Log struct {
-		Level slog.Level
-		Msg   string
-		Args  []any
-	}
-)
-
-// StoreOp names a request to the state service.
-type StoreOp int
-
-// Requests to the state service.
-const (
-	OpGet StoreOp = iota
-	OpList
-	OpTxn
-	OpGrantLease
-	OpRenewLease
-	OpWatch
-)
-
-// CloudOp names a request to the cloud.
-type CloudOp int
-
-// Requests to the cloud.
-const (
-	OpCatalog CloudOp = iota
-	OpRent
-	OpDelete
-	OpMachines
-)
-
-// Core is one controller's state.
+// Core is one controller's state, grouped by what each group is about.
 type Core struct {
 	set *settings.Settings
 	rng *rand.Rand
 	inc uint64 // this process among all that ever bore the node's name
 	now int64
-	out []any
+	out []Effect
 
 	nextCall uint64
-	store    map[uint64]func(*StoreReply)
+	store    map[uint64]func(*StoreReply) // what awaits an answer
 	cloud    map[uint64]func(*CloudReply)
 
-	// the replica of the state service
-	synced       bool
-	rev          uint64
-	replicaAt    int64 // the replica shows all that was committed before then
-	partitions   []*partition
-	machines     map[string]*machine
-	order        []*machine        // by name
-	tombstones   map[string]origin // machines deleted, while some log still names them
-	rows         map[string]int    // how many entries of all logs name a machine
-	adoptVer     uint64
-	jobs         map[string]*job
-	needs        map[string]*dependency
-	needsToRead  []string // of the needs those whose final records are to be read
-	unsureAt     int64    // not before
-	needReads    int      // final records being read for needs
-	urgent       map[string]urgency
-	finals       *finals
+	replica
+	leaseState
+	storeHealth
+	writeState
+	cloudState
+	planState
+	peerState
+	workerReach
+
+	tickAt int64
+}
+
+// replica is what is known of the live keys of the state service. It changes only by
+// what the watch and reads show, in the order of their revisions, and by our own
+// writes once they were answered.
+type replica struct {
+	synced     bool
+	rev        uint64
+	replicaAt  int64 // the replica shows all that was committed before then
+	partitions []*partition
+	machines   map[string]*machine
+	order      []*machine        // by name
+	tombstones map[string]origin // machines deleted, while some log still names them
+	rows       map[string]int    // how many entries of all logs name a machine
+	adoptVer   uint64
+	jobs       map[string]*job
+	usage      map[string]*sched.Res // of each team
+	finals     *finals
+
+	needs       map[string]*dependency
+	needsToRead []string // of the needs those whose final records are to be read
+	unsureAt    int64    // not before
+	needReads   int      // final records being read for needs
+
 	waitingReads []func(ok bool) // wait for a read begun after they asked
 	reading      bool
 	watching     bool
 	watchAt      int64
 	readAt       int64
-	storeOK      int64 // last answer from the state service
-	storeBad     int64 // when it last began not to answer; 0: it answers
 	relist       *relisting
+}
+
+// leaseState is our lease on the state service, which the partitions hang on.
+type leaseState struct {
+	lease    uint64
+	leasedAt int64 // when the last renewal that succeeded was sent
+	renewAt  int64
+	renewing bool
+}
+
+// storeHealth is whether the state service answers, and what was said of it.
+type storeHealth struct {
+	storeOK  int64 // last answer from the state service
+	storeBad int64 // when it last began not to answer; 0: it answers
 	// storeRefuses: since it began to fail some of it were answers, not silence.
 	storeRefuses bool
 	condition    condition
 	conditionAt  int64
 	conditionNew condition // seen since newAt, not said yet
 	newAt        int64
+}
 
-	// our lease
-	lease    uint64
-	leasedAt int64 // when the last renewal that succeeded was sent
-	renewAt  int64
-	renewing bool
-
-	usage   map[string]*sched.Res
+// writeState is what is being written, within the budget of changes.
+type writeState struct {
 	txns    []*transaction
 	writes  budget
 	turn    int // of the partitions to flush first
-	accepts int
+	accepts int // submissions being recorded
+}
 
+// cloudState is what is known of the cloud: its catalogue, what it refused of late,
+// how long machines boot, and its list.
+type cloudState struct {
 	types     []wire.MachineType
 	typeOf    map[string]*wire.MachineType
 	typesAt   int64
@@ -228,22 +125,33 @@
 	listRound int
 	deleting  bool
 	cloudBad  int64
+}
 
+// planState is when to plan, and what the last plans said.
+type planState struct {
 	cycleAt   int64
 	planAt    int64 // none before this time
 	wantCycle int64 // an early cycle is wanted at this time
 	summaryAt int64
+	urgent    map[string]urgency
 	why       map[string]string
 	ends      map[string]int64
 	reserved  map[string]sched.AdvanceReservation // machines kept for gangs that are due
+}
+
+// peerState is what is known of the other controllers, and what they are to be told.
+type peerState struct {
+	heartbeats   map[string]*heard
+	schemas      map[string]int // by controller, the schema version that it is known to read
+	schemaAt     int64
+	schemaAgreed bool // all read ours; said so
+	heartbeatAt  int64
+	asks         []peer.Ask
+	notices      []cancellationNotice
+}
 
-	heartbeats       map[string]*heard
-	schemas          map[string]int // by controller, the schema version that it is known to read
-	schemaAt         int64
-	schemaAgreed     bool // all read ours; said so
-	heartbeatAt      int64
-	asks             []peer.Ask
-	notices          []cancellationNotice
+// workerReach is whether workers reach us.
+type workerReach struct {
 	noTakeoverBefore int64 // takes no partition over before this
 	unreached        int64
 	heardAt          int64 // any worker, of whatever partition
@@ -251,20 +159,21 @@
 	probeAt          int64
 	probed           int
 	hearingSince     int64 // since when reports can be answered; 0: they can't
-	tickAt           int64
 }
 
+// finalsKept is how many final states are kept in memory.
+const finalsKept = 20_000
+
 // New makes a controller. inc tells this process from earlier ones of the
 // same name; rng serves jitter alone.
 func New(set *settings.Settings, inc uint64, rng *rand.Rand) *Core {
-	c := &Core{
-		set: set, rng: rng, inc: inc,
-		store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){},
-		machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*dependency{}, schemas: map[string]int{}, pages: map[string]catalogPage{}, tombstones: map[string]origin{}, rows: map[string]int{},
-		finals: newFinals(20000), usage: map[string]*sched.Res{},
-		deletedAt: map[string]int64{}, refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{},
-		typeOf: map[string]*wire.MachineType{}, heartbeats: map[string]*heard{}, why: map[string]string{},
-	}
+	c := &Core{set: set, rng: rng, inc: inc, store: map[uint64]func(*StoreReply){}, cloud: map[uint64]func(*CloudReply){}}
+	c.replica = replica{machines: map[string]*machine{}, jobs: map[string]*job{}, needs: map[string]*dependency{},
+		tombstones: map[string]origin{}, rows: map[string]int{}, finals: newFinals(finalsKept), usage: map[string]*sched.Res{}}
+	c.cloudState = cloudState{typeOf: map[string]*wire.MachineType{}, pages: map[string]catalogPage{}, deletedAt: map[string]int64{},
+		refused: map[sched.Kind]int64{}, boots: map[string]boots{}, listed: map[string]*listedMachine{}}
+	c.planState = planState{why: map[string]string{}}
+	c.peerState = peerState{heartbeats: map[string]*heard{}, schemas: map[string]int{}}
 	for i := range set.Ops.Parts {
 		c.partitions = append(c.partitions, &partition{idx: i, dirty: map[string]bool{}})
 	}
@@ -275,7 +184,7 @@
 }
 
 // Step takes one input at a time that never runs backwards.
-func (c *Core) Step(now int64, in any) []any {
+func (c *Core) Step(now int64, in Input) []Effect {
 	previous := c.now
 	c.now = max(c.now, now)
 	c.out = nil
@@ -333,7 +242,7 @@
 	c.logSummary()
 }
 
-func (c *Core) emit(e any) { c.out = append(c.out, e) }
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) log(level slog.Level, msg string, args ...any) {
 	c.emit(Log{level, msg, args})
--- /dev/null
+++ b/internal/core/messages.go
@@ -0,0 +1,167 @@
+package core
+
+import (
+	"log/slog"
+
+	"spurmoor/internal/peer"
+	"spurmoor/internal/wire"
+)
+
+// Input is what Step takes: a request of a user, worker, health check or other
+// controller, the answer to an effect, or a tick. Of an answer, Status 0 means that
+// none came.
+type Input interface{ input() }
+
+// Inputs to Step.
+type (
+	// Tick lets time pass.
+	Tick struct{}
+	// Submit is POST /work.
+	Submit struct {
+		Req  uint64
+		Body []byte
+	}
+	// Poll is GET /work/{id}.
+	Poll struct {
+		Req uint64
+		ID  string
+	}
+	// Cancel is POST /work/{id}/cancel.
+	Cancel struct {
+		Req uint64
+		ID  string
+	}
+	// Explain is GET /why/{id}.
+	Explain struct {
+		Req uint64
+		ID  string
+	}
+	// Ready is GET /ready.
+	Ready struct{ Req uint64 }
+	// ReportReceived is a worker's report.
+	ReportReceived struct {
+		Req    uint64
+		Report *wire.Report
+	}
+	// CommandsAnswered answers SendCommands.
+	CommandsAnswered struct {
+		Machine string
+		Token   uint64
+		Starts  bool
+		Unsent  bool // too many were out: nothing left this process
+		Status  int
+		Report  *wire.Report
+	}
+	// StoreReply answers a StoreCall.
+	StoreReply struct {
+		Call   uint64
+		Status int
+		Item   wire.Item
+		Items  wire.Items
+		Txn    wire.TxnResult
+		Follow wire.WatchResponse
+		Lease  uint64
+	}
+	// CloudReply answers a CloudCall.
+	CloudReply struct {
+		Call     uint64
+		Status   int
+		Catalog  wire.Catalog
+		Names    []string
+		Machines wire.MachineList
+	}
+	// HeartbeatReceived is a message of another controller.
+	HeartbeatReceived struct{ Heartbeat *peer.Heartbeat }
+)
+
+// Effect is what Step gives: something to send, write, answer or log.
+type Effect interface{ effect() }
+
+// Effects of Step.
+type (
+	// Answer answers a request of a user, worker or health check.
+	Answer struct {
+		Req        uint64
+		Status     int
+		Body       any
+		RetryAfter int
+	}
+	// StoreCall is a request to the state service.
+	StoreCall struct {
+		Call   uint64
+		Op     StoreOp
+		Key    string // get, list (after), extend (unused)
+		Since  uint64
+		WaitMs int
+		Lease  uint64
+		TTLMs  int64
+		Txn    *wire.Txn
+		Urgent bool // lease renewals: not held back by the budget
+	}
+	// CloudCall is a request to the cloud.
+	CloudCall struct {
+		Call  uint64
+		Op    CloudOp
+		Rent  *wire.Rent
+		Names []string
+		After string
+	}
+	// SendCommands sends commands to a worker directly.
+	SendCommands struct {
+		Machine string
+		Addr    string
+		Starts  bool // it starts tasks
+		Body    wire.CommandRequest
+	}
+	// Broadcast sends a message to every other controller.
+	Broadcast struct{ Heartbeat *peer.Heartbeat }
+	// Log is a line for the log.
+	Log struct {
+		Level slog.Level
+		Msg   string
+		Args  []any
+	}
+)
+
+// StoreOp names a request to the state service.
+type StoreOp int
+
+// Requests to the state service.
+const (
+	OpGet StoreOp = iota
+	OpList
+	OpTxn
+	OpGrantLease
+	OpRenewLease
+	OpWatch
+)
+
+// CloudOp names a request to the cloud.
+type CloudOp int
+
+// Requests to the cloud.
+const (
+	OpCatalog CloudOp = iota
+	OpRent
+	OpDelete
+	OpMachines
+)
+
+func (Tick) input()              {}
+func (Submit) input()            {}
+func (Poll) input()              {}
+func (Cancel) input()            {}
+func (Explain) input()           {}
+func (Ready) input()             {}
+func (ReportReceived) input()    {}
+func (CommandsAnswered) input()  {}
+func (*StoreReply) input()       {}
+func (*CloudReply) input()       {}
+func (HeartbeatReceived) input() {}
+
+func (Answer) effect()       {}
+func (StoreCall) effect()    {}
+func (CloudCall) effect()    {}
+func (SendCommands) effect() {}
+func (Broadcast) effect()    {}
+func (Log) effect()          {}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -53,7 +53,7 @@
 
 // input is an input to the core, or a request that awaits its answer.
 type input struct {
-	in  any
+	in  core.Input
 	req uint64
 	to  chan decided
 }
@@ -173,7 +173,7 @@
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
 	for {
-		var in any = core.Tick{}
+		var in core.Input = core.Tick{}
 		take := func(v input) {
 			if v.to != nil {
 				s.waiting[v.req] = v.to
@@ -201,13 +201,13 @@
 	}
 }
 
-func (s *Server) feed(in any) { s.inputs <- input{in: in} }
+func (s *Server) feed(in core.Input) { s.inputs <- input{in: in} }
 
 // hasten feeds what others wait for: a lease's renewal once stood behind a
 // thousand reports.
-func (s *Server) hasten(in any) { s.first <- input{in: in} }
+func (s *Server) hasten(in core.Input) { s.first <- input{in: in} }
 
-func (s *Server) effect(e any, now int64) {
+func (s *Server) effect(e core.Effect, now int64) {
 	switch v := e.(type) {
 	case core.Answer:
 		if to := s.waiting[v.Req]; to != nil {
@@ -297,7 +297,7 @@
 }
 
 // ask hands a request to the core and waits for its answer.
-func (s *Server) ask(ctx *fasthttp.RequestCtx, in chan<- input, toInput func(req uint64) any) {
+func (s *Server) ask(ctx *fasthttp.RequestCtx, in chan<- input, toInput func(req uint64) core.Input) {
 	req := s.nextReq.Add(1)
 	to := make(chan decided, 1)
 	select {
@@ -332,16 +332,16 @@
 	path := string(ctx.Path())
 	switch {
 	case path == "/ready":
-		s.serve(ctx, fasthttp.MethodGet, s.first, func(req uint64) any { return core.Ready{Req: req} })
+		s.serve(ctx, fasthttp.MethodGet, s.first, func(req uint64) core.Input { return core.Ready{Req: req} })
 	case path == "/work":
-		s.serve(ctx, fasthttp.MethodPost, s.inputs, func(req uint64) any {
+		s.serve(ctx, fasthttp.MethodPost, s.inputs, func(req uint64) core.Input {
 			return core.Submit{Req: req, Body: append([]byte(nil), ctx.PostBody()...)}
 		})
 	case path == "/v1/report":
 		s.report(ctx)
 	case strings.HasPrefix(path, "/why/"):
 		id := path[len("/why/"):]
-		s.serve(ctx, fasthttp.MethodGet, s.inputs, func(req uint64) any { return core.Explain{Req: req, ID: id} })
+		s.serve(ctx, fasthttp.MethodGet, s.inputs, func(req uint64) core.Input { return core.Explain{Req: req, ID: id} })
 	case strings.HasPrefix(path, "/work/"):
 		s.job(ctx, path[len("/work/"):])
 	default:
@@ -354,11 +354,11 @@
 	id, cancel := strings.CutSuffix(rest, "/cancel")
 	switch {
 	case cancel:
-		s.serve(ctx, fasthttp.MethodPost, s.inputs, func(req uint64) any { return core.Cancel{Req: req, ID: id} })
+		s.serve(ctx, fasthttp.MethodPost, s.inputs, func(req uint64) core.Input { return core.Cancel{Req: req, ID: id} })
 	case strings.Contains(id, "/"):
 		noSuchPath(ctx)
 	default:
-		s.serve(ctx, fasthttp.MethodGet, s.inputs, func(req uint64) any { return core.Poll{Req: req, ID: id} })
+		s.serve(ctx, fasthttp.MethodGet, s.inputs, func(req uint64) core.Input { return core.Poll{Req: req, ID: id} })
 	}
 }
 
@@ -382,11 +382,11 @@
 			s.log.Warn("sockets are short: workers' connections last for one report", "open", s.open(), "max_connections", s.set.Facts.Limits.MaxConnections)
 		}
 	}
-	s.ask(ctx, s.inputs, func(req uint64) any { return core.ReportReceived{Req: req, Report: r} })
+	s.ask(ctx, s.inputs, func(req uint64) core.Input { return core.ReportReceived{Req: req, Report: r} })
 }
 
 // serve asks the core, if the method is the right one.
-func (s *Server) serve(ctx *fasthttp.RequestCtx, method string, in chan input, handle func(req uint64) any) {
+func (s *Server) serve(ctx *fasthttp.RequestCtx, method string, in chan input, handle func(req uint64) core.Input) {
 	if string(ctx.Method()) != method {
 		wrongMethod(ctx, method)
 		return
--- a/internal/simulation/effects.go
+++ b/internal/simulation/effects.go
@@ -15,7 +15,7 @@
 )
 
 // effect carries out what a controller decided.
-func (w *World) effect(n *node, e any) {
+func (w *World) effect(n *node, e core.Effect) {
 	switch v := e.(type) {
 	case core.Answer:
 		w.answerOf(n, v)
@@ -39,9 +39,9 @@
 
 // once gives a function that hands a process the first of several inputs, unless it
 // has ended since.
-func (w *World) once(n *node) func(in any) {
+func (w *World) once(n *node) func(in core.Input) {
 	epoch, answered := n.epoch, false
-	return func(in any) {
+	return func(in core.Input) {
 		if answered {
 			return
 		}
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -53,7 +53,7 @@
 
 // through sends a request to some node that is up; f gets nil when no answer
 // came in time.
-func (u *user) through(in func(req uint64) any, f func(*core.Answer)) {
+func (u *user) through(in func(req uint64) core.Input, f func(*core.Answer)) {
 	w := u.w
 	n := w.nodes[w.rng.IntN(3)]
 	answered := false
@@ -81,7 +81,7 @@
 }
 
 func (u *user) submit() {
-	u.through(func(req uint64) any { return core.Submit{Req: req, Body: u.body} }, func(a *core.Answer) {
+	u.through(func(req uint64) core.Input { return core.Submit{Req: req, Body: u.body} }, func(a *core.Answer) {
 		u.w.check.submitted(u, a)
 		if a == nil || a.Status != 200 && a.Status != 201 {
 			if a == nil || a.Status >= 429 {
@@ -100,7 +100,7 @@
 
 func (u *user) poll() {
 	final := u.final // an answer to a poll that overlaps the news may be older
-	u.through(func(req uint64) any { return core.Poll{Req: req, ID: u.id} }, func(a *core.Answer) {
+	u.through(func(req uint64) core.Input { return core.Poll{Req: req, ID: u.id} }, func(a *core.Answer) {
 		if u.w.muted == u.id {
 			a = nil
 		}
@@ -123,7 +123,7 @@
 func (u *user) cancel() {
 	u.asked = true
 	accepted := u.accepted // when it asks: an acceptance that overlaps may be newer
-	u.through(func(req uint64) any { return core.Cancel{Req: req, ID: u.id} }, func(a *core.Answer) {
+	u.through(func(req uint64) core.Input { return core.Cancel{Req: req, ID: u.id} }, func(a *core.Answer) {
 		if a != nil && a.Status == 200 {
 			u.w.check.cancelled(u, a.Body.(wire.JobStatus).State)
 			u.w.again(u.cancel)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -195,7 +195,7 @@
 		if !s.node.up {
 			return
 		}
-		w.request(s.node, func(req uint64) any { return core.ReportReceived{Req: req, Report: r} }, func(a core.Answer) {
+		w.request(s.node, func(req uint64) core.Input { return core.ReportReceived{Req: req, Report: r} }, func(a core.Answer) {
 			w.between(s.node, wk, func() { s.answered(a) })
 		})
 	})
@@ -210,7 +210,7 @@
 	late := *r
 	w.after(second+w.rng.Int64N(int64(2*w.sc.LeaseS*float64(second))), func() {
 		if n := w.nodes[w.rng.IntN(3)]; n.up && !n.cut["workers"] && !n.cut["all"] {
-			w.request(n, func(req uint64) any { return core.ReportReceived{Req: req, Report: &late} }, func(core.Answer) {})
+			w.request(n, func(req uint64) core.Input { return core.ReportReceived{Req: req, Report: &late} }, func(core.Answer) {})
 		}
 	})
 }
