Review: case 1, a task runs on two machines after a new session

Cause: a 409 to a direct command tells the leader of a worker's new session, but not that the session has a lease of its own.

--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -123,6 +123,7 @@
 func (w *Worker) hung() bool {
 	now := time.Now()
 	if now.Before(w.hungUntil) {
+		w.checkLease() // a hanging machine may resume within its lease alone
 		return true
 	}
 	if !w.hungUntil.IsZero() {
