--- a/review/standin/case_gang.go
+++ b/review/standin/case_gang.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,7 @@
 // unanswered is how long no question about an accepted job may be answered.
 const unanswered = 75 * time.Second
 
-// playGang submits a gang of as many tasks as a job may have, and asks about another job.
+// playGang submits two gangs of as many tasks as a job may have, and asks about another job.
 func playGang(w *World, trouble bool) error {
 	for i := range w.nodes {
 		if err := w.Start(i); err != nil {
@@ -32,9 +33,7 @@
 		return err
 	}
 	if trouble {
-		gang := array(2, "tarifas", 100_000, 20)
-		gang.Forma, gang.Vcpus, gang.MemoryGb = "group", 0.0002, 0.001
-		if err := w.SubmitUntil(gang, 10*time.Second, 1, 2, 0); err != nil {
+		if err := submitGangs(w); err != nil {
 			return err
 		}
 	}
@@ -68,3 +67,17 @@
 	}
 	return nil
 }
+
+// submitGangs submits the gangs at once, so that one plan has both. One of them alone is enough
+// to stop the controllers; with two, the time does not depend on how fast the machine is.
+func submitGangs(w *World) error {
+	errs := make(chan error, 2)
+	for i := range 2 {
+		go func() {
+			gang := array(2+i, "tarifas", 100_000, 20)
+			gang.Forma, gang.Vcpus, gang.MemoryGb = "group", 0.0002, 0.0004
+			errs <- w.SubmitUntil(gang, 10*time.Second, 1+i, 2-i, 0)
+		}()
+	}
+	return errors.Join(<-errs, <-errs)
+}
