A worker's messages are compared within one incarnation alone

Seen: after a worker's lease expired and a refused direct command had shown its new incarnation, the leader refused the worker's heartbeats as outdated and dropped its answers to direct commands, until their number passed that of the old incarnation's last message. The lease expired once more, and tasks were started elsewhere while they ran.

Cause: observeIncarnation raised the machine's incarnation and kept the sequence number of the incarnation before.

Change: a new incarnation begins without an applied message.

--- a/internal/core/command_reply.go
+++ b/internal/core/command_reply.go
@@ -71,11 +71,14 @@
 // the report is late, and that commands to the earlier one no longer take effect. Replies
 // to direct commands count as well as heartbeats: otherwise tasks count as running for as
 // long as a restarted machine is reachable only by direct commands.
+//
+// The worker may number its messages anew in each incarnation. Nothing of this one is applied
+// yet, so any message of it counts as newer.
 func (h *workerHandler) observeIncarnation(machine *cluster.Machine, incarnation api.Incarnation) {
 	if incarnation <= machine.Incarnation {
 		return
 	}
-	machine.Incarnation = incarnation
+	machine.Incarnation, machine.HeartbeatSequence = incarnation, 0
 	machine.CachedImages = nil
 	for _, id := range machine.TaskIDsCopy() {
 		job := h.cluster.Jobs[id.Job]
--- a/internal/simulation/effects.go
+++ b/internal/simulation/effects.go
@@ -199,6 +199,9 @@
 		if target.terminated || !target.up || target.inboundCut {
 			return
 		}
+		if s.delayCommands(target, func() { s.executeCommands(node, target, commands, unanswered) }) {
+			return
+		}
 		target.whenRunning(func() {
 			answered := s.executeCommands(node, target, commands, unanswered)
 			s.deliverOnWorkerLink(node, target, func() { settle(answered) })
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -49,7 +49,7 @@
 	FaultMachineFailing     FaultKind = "machine_sick" // all tasks that it starts fail
 	FaultMachineRestart     FaultKind = "machine_blink"
 	FaultMachineInboundCut  FaultKind = "machine_deaf"
-	FaultMachineOutboundCut FaultKind = "machine_mute"
+	FaultMachineOutboundCut FaultKind = "machine_mute" // optional argument: modeLate
 	FaultInterruption       FaultKind = "spot_notice"
 )
 
@@ -57,6 +57,7 @@
 const (
 	FaultLateWrites      FaultKind = "late_writes"  // optional argument: modeAtOnce
 	FaultLateHeartbeats  FaultKind = "late_reports" // optional argument: modeForNext
+	FaultLateCommands    FaultKind = "late_commands"
 	FaultCancelAtEnd     FaultKind = "cancel_at_end"
 	FaultCancelRunning   FaultKind = "cancel_now"
 	FaultQueryBursts     FaultKind = "close_looks"
@@ -79,6 +80,7 @@
 const (
 	modeAtOnce  = "at_once"  // late writes are executed without delay, but not answered
 	modeForNext = "for_next" // late heartbeats arrive when a partition has another leader
+	modeLate    = "late"     // a share of the direct commands to the machines is late as well
 	// defaultShare is the share of messages or jobs that a fault affects if it names none.
 	defaultShare = 0.3
 )
@@ -97,6 +99,7 @@
 	occurredLateWrite          = "late writes"
 	occurredLateHeartbeat      = "late reports"
 	occurredHeldHeartbeat      = "reports kept for the next leader"
+	occurredLateCommands       = "late commands"
 	occurredLeaderChange       = "changes of leader"
 	occurredCancelRunning      = "cancelled while they ran"
 	occurredHungWithCancelled  = "machines hung with cancelled tasks"
@@ -116,6 +119,7 @@
 type faultState struct {
 	lateWrites              probabilisticFault
 	lateHeartbeats          probabilisticFault
+	lateCommands            probabilisticFault
 	heartbeatsForNextLeader []func() // heartbeats held until a partition has another leader
 	cancelAtEnd             probabilisticFault
 	queryBurstsUntil        micros.Micros
@@ -195,6 +199,7 @@
 
 	FaultLateWrites:      (*Simulation).injectLateWrites,
 	FaultLateHeartbeats:  (*Simulation).injectLateHeartbeats,
+	FaultLateCommands:    (*Simulation).injectLateCommands,
 	FaultCancelAtEnd:     (*Simulation).injectCancelAtEnd,
 	FaultCancelRunning:   (*Simulation).injectCancelRunning,
 	FaultQueryBursts:     (*Simulation).injectQueryBursts,
@@ -213,7 +218,7 @@
 
 // inject injects a fault. It reports a violation of the scenario if the kind is unknown.
 func (s *Simulation) inject(fault Fault) {
-	target := s.nodes[fault.Node%controllerCount]
+	target := s.nodes[fault.Node%len(s.nodes)]
 	if fault.Partition > 0 {
 		if leader := s.leaderOf(fault.Partition - 1); leader != nil {
 			target = leader
--- a/internal/simulation/faults_machines.go
+++ b/internal/simulation/faults_machines.go
@@ -9,13 +9,17 @@
 // injectMachineFaults injects a fault of machines into one machine after the other, as many
 // as the fault's count. It stops when no healthy machine is left.
 func (s *Simulation) injectMachineFaults(fault injection) {
+	kind, _ := fault.Kind.split()
 	for range max(1, fault.Count) {
-		busiest := s.busiestWorker(fault.Kind == FaultInterruption, fault.Zone)
+		busiest := s.busiestWorker(kind == FaultInterruption, fault.Zone)
 		if busiest == nil {
 			return
 		}
 		s.logf("%s %s", fault.Kind, busiest.name)
-		s.injectMachineFault(fault.Kind, busiest, fault.duration)
+		s.injectMachineFault(kind, busiest, fault.duration)
+		if fault.argument == modeLate {
+			busiest.lateCommands = fault.probabilistic()
+		}
 	}
 }
 
--- a/internal/simulation/faults_messages.go
+++ b/internal/simulation/faults_messages.go
@@ -21,6 +21,9 @@
 	// it arrive. It is so short that they arrive before the workers' own heartbeats to the new
 	// leader.
 	heldHeartbeatDelay = micros.Second / 100
+	// Late commands are executed 2 to 16 s late.
+	minCommandDelay    = 2 * micros.Second
+	commandDelaySpread = 14 * micros.Second
 )
 
 func (s *Simulation) injectLateWrites(fault injection) { s.faults.lateWrites = fault.probabilistic() }
@@ -29,6 +32,26 @@
 	s.faults.lateHeartbeats = fault.probabilistic()
 }
 
+func (s *Simulation) injectLateCommands(fault injection) {
+	s.faults.lateCommands = fault.probabilistic()
+}
+
+// delayCommands handles direct commands that a fault of late commands affects, and reports
+// whether it does. They are held up on their way to the worker and executed once, late and
+// without an answer.
+func (s *Simulation) delayCommands(target *worker, execute func()) bool {
+	if !s.faults.lateCommands.applies(s) && !target.lateCommands.applies(s) {
+		return false
+	}
+	s.countOccurrence(occurredLateCommands)
+	s.after(minCommandDelay+micros.Random(s.rng, commandDelaySpread), func() {
+		if target.up && !target.inboundCut {
+			target.whenRunning(execute)
+		}
+	})
+	return true
+}
+
 // delayTransaction handles a transaction that a fault of late writes affects, and reports
 // whether it does. The transaction is executed without a reply: late and after newer ones, or
 // without delay in modeAtOnce.
@@ -49,10 +72,11 @@
 }
 
 // copyLateHeartbeat delivers a copy of a heartbeat if a fault of late heartbeats affects it:
-// after a random delay, or in modeForNext when a partition has its next leader.
-func (s *Simulation) copyLateHeartbeat(heartbeat *api.Heartbeat) {
+// after a random delay, or in modeForNext when a partition has its next leader. It reports
+// whether the fault affects the heartbeat.
+func (s *Simulation) copyLateHeartbeat(heartbeat *api.Heartbeat) bool {
 	if !s.faults.lateHeartbeats.applies(s) {
-		return
+		return false
 	}
 	duplicate := *heartbeat
 	if s.faults.lateHeartbeats.mode == modeForNext {
@@ -62,13 +86,14 @@
 				s.receiveDuplicate(node, &duplicate)
 			}
 		})
-		return
+		return true
 	}
 	spread := micros.FromSeconds(heartbeatDelaySpreadLeases * s.scenario.LeaseS)
 	s.after(minHeartbeatDelay+micros.Random(s.rng, spread), func() {
 		s.countOccurrence(occurredLateHeartbeat)
 		s.receiveDuplicate(s.randomNode(), &duplicate)
 	})
+	return true
 }
 
 // recordLeaderChange records a write to the store if it changes a partition's leader record. It
--- a/internal/simulation/heartbeat.go
+++ b/internal/simulation/heartbeat.go
@@ -57,6 +57,8 @@
 	number      int64
 	sentAt      micros.Micros
 	incarnation api.Incarnation
+	sequence    uint64 // of the heartbeat
+	copied      bool   // a copy of the heartbeat arrives too, perhaps before it
 }
 
 // sendHeartbeat sends a heartbeat to the node that the worker uses at present, and schedules
@@ -72,11 +74,12 @@
 	// The period has a jitter of a quarter in either direction.
 	w.nextHeartbeatAt = sim.now + period*3/4 + micros.Random(sim.rng, period/2+1)
 	heartbeat := w.heartbeat()
+	call.sequence = heartbeat.Sequence
 	sim.logf("%s sends heartbeat %d/%d to %s: %d tasks",
 		w.name, heartbeat.Incarnation, heartbeat.Sequence, call.node.name, len(heartbeat.Tasks))
 	sim.after(heartbeatTimeout, func() { call.finish(sim.now+heartbeatRetryDelay, w.nextNode()) })
-	sim.copyLateHeartbeat(heartbeat)
-	w.maybeDuplicateHeartbeat(heartbeat)
+	copiedLate, duplicated := sim.copyLateHeartbeat(heartbeat), w.maybeDuplicateHeartbeat(heartbeat)
+	call.copied = copiedLate || duplicated
 	if sim.transport != nil {
 		sim.transport.sendHeartbeat(w.nodeIndex, heartbeat, call.receive)
 		return
@@ -106,18 +109,19 @@
 }
 
 // nextNode returns the index of the node that follows the worker's.
-func (w *worker) nextNode() int { return (w.nodeIndex + 1) % controllerCount }
+func (w *worker) nextNode() int { return (w.nodeIndex + 1) % len(w.sim.nodes) }
 
 // maybeDuplicateHeartbeat delivers a copy of a heartbeat later to a random node, for the share
-// of heartbeats that the scenario duplicates.
-func (w *worker) maybeDuplicateHeartbeat(heartbeat *api.Heartbeat) {
+// of heartbeats that the scenario duplicates. It reports whether it does.
+func (w *worker) maybeDuplicateHeartbeat(heartbeat *api.Heartbeat) bool {
 	sim := w.sim
 	if sim.scenario.HeartbeatCopies <= 0 || sim.rng.Float64() >= sim.scenario.HeartbeatCopies {
-		return
+		return false
 	}
 	duplicate := *heartbeat
 	within := micros.FromSeconds(copySpreadLeases * sim.scenario.LeaseS)
 	sim.after(minCopyDelay+micros.Random(sim.rng, within), func() { sim.receiveDuplicate(sim.randomNode(), &duplicate) })
+	return true
 }
 
 // receiveDuplicate passes a copy of a heartbeat to a node and drops the answer.
@@ -161,6 +165,7 @@
 	if worker.pendingHeartbeat != c.number || worker.incarnation != c.incarnation {
 		return // timed out, or sent by an earlier incarnation
 	}
+	worker.sim.checker.checkNotOutdated(c, answer)
 	response, ok := answer.Body.(api.HeartbeatResponse)
 	if !ok || answer.Status != http.StatusOK {
 		c.switchNode(answer)
--- a/internal/simulation/invariants.go
+++ b/internal/simulation/invariants.go
@@ -28,10 +28,11 @@
 
 // Invariants of answers.
 const (
-	invariantLostJob        invariant = "forgotten" // an accepted job stays known, and queries about it are answered
-	invariantStaleAnswer    invariant = "went_back" // no answer reports an older state than an earlier one
-	invariantOrphaned       invariant = "orphaned"  // dependants of a cancelled job are reported as cancelled in time
-	invariantInvalidRequest invariant = "bad_input" // invalid requests are refused with the right status
+	invariantLostJob        invariant = "forgotten"      // an accepted job stays known, and queries about it are answered
+	invariantStaleAnswer    invariant = "went_back"      // no answer reports an older state than an earlier one
+	invariantOrphaned       invariant = "orphaned"       // dependants of a cancelled job are reported as cancelled in time
+	invariantNewestRefused  invariant = "newest_refused" // a worker's newest heartbeat is not refused as outdated
+	invariantInvalidRequest invariant = "bad_input"      // invalid requests are refused with the right status
 )
 
 // Invariants of orders, and of the use of services.
--- a/internal/simulation/invariants_tasks.go
+++ b/internal/simulation/invariants_tasks.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"spurmoor/internal/api"
+	"spurmoor/internal/message"
 	"spurmoor/internal/micros"
 )
 
@@ -87,6 +88,21 @@
 	}
 }
 
+// outdatedHeartbeatText is the reason with which a controller refuses a heartbeat that is older
+// than another message of the same worker.
+const outdatedHeartbeatText = "a newer report was seen"
+
+// checkNotOutdated checks the answer to a heartbeat: it must not be refused as outdated if the
+// worker has sent nothing since and no copy of the heartbeat may have arrived before it.
+func (c *invariantChecker) checkNotOutdated(call *heartbeatCall, answer message.Answer) {
+	refusal, refused := answer.Body.(api.Error)
+	isNewest := call.worker.sequence == call.sequence && !call.copied
+	if refused && refusal.Error == outdatedHeartbeatText && isNewest {
+		c.reportf(invariantNewestRefused, "%s heartbeat %d/%d by %s",
+			call.worker.name, call.incarnation, call.sequence, call.node.name)
+	}
+}
+
 // taskRemoved stops counting a task that is no longer active on its machine.
 func (c *invariantChecker) taskRemoved(task *workerTask) {
 	attempts := c.activeAttempts[task.id]
--- a/internal/simulation/loopback_jobs_test.go
+++ b/internal/simulation/loopback_jobs_test.go
@@ -23,7 +23,7 @@
 	attempt := number
 	l.waitUntil("a controller accepts "+spec.ID, func() bool {
 		attempt++
-		status, _ := l.request(http.MethodPost, attempt%controllerCount, "/work", submission(spec))
+		status, _ := l.request(http.MethodPost, attempt%processCount, "/work", submission(spec))
 		return status == http.StatusCreated || status == http.StatusOK
 	})
 	return spec.ID
--- a/internal/simulation/loopback_run_test.go
+++ b/internal/simulation/loopback_run_test.go
@@ -159,7 +159,7 @@
 	l.t.Helper()
 	large := l.submit(13, Job{Tasks: 30, GPUs: 4, RunS: 60, Team: "norte"})
 	l.waitUntil("the explanation of "+large+" says why it waits and when it should be done", func() bool {
-		for i := range controllerCount {
+		for i := range processCount {
 			explanation, ok := l.explanation(i, large)
 			if ok && explanation.Leader == nodeName(i) && explanation.Reason != "" && explanation.ExpectedInS > 0 &&
 				explanation.EarliestS < explanation.ExpectedInS && explanation.ExpectedInS < explanation.LatestS {
--- a/internal/simulation/loopback_services_test.go
+++ b/internal/simulation/loopback_services_test.go
@@ -122,7 +122,7 @@
 // listen serves a worker's commands to each process at a separate address, and returns the
 // one for the first process. The caller holds mu.
 func (l *loopbackCluster) listen(target *worker) string {
-	var addrs [controllerCount]string
+	var addrs [processCount]string
 	for i := range addrs {
 		addrs[i] = l.listenAndServe(l.relay.handler(i, func(writer http.ResponseWriter, request *http.Request) {
 			l.serveCommands(target, writer, request)
--- a/internal/simulation/loopback_test.go
+++ b/internal/simulation/loopback_test.go
@@ -21,6 +21,8 @@
 )
 
 const (
+	// processCount is the number of processes of a loopback cluster.
+	processCount = 3
 	// waitTimeout bounds every wait, so that a test ends when its condition never holds.
 	waitTimeout = 90 * time.Second
 	// pollInterval is the time between two checks of a condition that is waited for.
@@ -47,12 +49,12 @@
 	machinesTransferred atomic.Int32 // counted in the log lines of the processes
 
 	// Indexed by process.
-	processes     [controllerCount]*exec.Cmd
-	publicAddrs   [controllerCount]string
-	internalAddrs [controllerCount]string
-	storeAddrs    [controllerCount]string // at which each process reaches the store
-	cloudAddrs    [controllerCount]string
-	workerAddrs   map[string][controllerCount]string // keyed by the address for the first process
+	processes     [processCount]*exec.Cmd
+	publicAddrs   [processCount]string
+	internalAddrs [processCount]string
+	storeAddrs    [processCount]string // at which each process reaches the store
+	cloudAddrs    [processCount]string
+	workerAddrs   map[string][processCount]string // keyed by the address for the first process
 }
 
 // newLoopbackCluster starts a simulation in real time and serves the store and the cloud to
@@ -61,12 +63,12 @@
 	t.Helper()
 	cluster := &loopbackCluster{
 		t: t, startedAt: time.Now(), client: &http.Client{Timeout: clientTimeout}, dir: t.TempDir(),
-		workerAddrs: map[string][controllerCount]string{},
+		workerAddrs: map[string][processCount]string{},
 	}
 	cluster.relay = newRelay(cluster)
 	cluster.sim = newSimulation(scenario, cluster)
 	cluster.keepAdvancing()
-	for i := range controllerCount {
+	for i := range processCount {
 		cluster.storeAddrs[i] = cluster.listenAndServe(cluster.relay.handler(i, cluster.serveStore))
 		cluster.cloudAddrs[i] = cluster.listenAndServe(cluster.relay.handler(i, func(writer http.ResponseWriter, request *http.Request) {
 			cluster.serveCloud(i, writer, request)
@@ -161,7 +163,7 @@
 	platform.PublicAddr, platform.InternalAddr = l.publicAddrs[index], l.internalAddrs[index]
 	platform.Endpoints.State, platform.Endpoints.Cloud = l.storeAddrs[index], l.cloudAddrs[index]
 	platform.Peers = nil
-	for peer := range controllerCount {
+	for peer := range processCount {
 		if peer != index {
 			platform.Peers = append(platform.Peers, settings.Peer{
 				Name: nodeName(peer), Zone: zones[0], Addr: l.internalAddrs[peer],
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -156,7 +156,7 @@
 }
 
 // randomNode draws one of the nodes.
-func (s *Simulation) randomNode() *node { return s.nodes[s.rng.IntN(controllerCount)] }
+func (s *Simulation) randomNode() *node { return s.nodes[s.rng.IntN(len(s.nodes))] }
 
 // leaderOf returns the node that the store records as a partition's leader, or nil if there is
 // none.
--- a/internal/simulation/relay_test.go
+++ b/internal/simulation/relay_test.go
@@ -24,8 +24,8 @@
 type relay struct {
 	cluster *loopbackCluster
 	mu      sync.Mutex
-	held    [controllerCount]map[leadership.Action]bool // actions whose orders are held back, by sender
-	release chan struct{}                               // closed when the held orders are delivered
+	held    [processCount]map[leadership.Action]bool // actions whose orders are held back, by sender
+	release chan struct{}                            // closed when the held orders are delivered
 	orders  []*relayedOrder
 }
 
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -9,6 +9,8 @@
 	Seed      uint64  `toml:"seed"`
 	DurationS float64 `toml:"duration_s"`
 
+	Controllers int `toml:"controllers"`
+
 	// Settings of the controllers, and limits of the key-value store.
 	LeaseS            float64 `toml:"lease_s"`
 	CancelS           float64 `toml:"cancel_s"`
@@ -21,6 +23,8 @@
 	// ExclusiveRoles turns on exclusive leadership of each of the fleet's roles, and the
 	// recording of launches.
 	ExclusiveRoles bool `toml:"duties"`
+	// SequenceRestarts makes a worker number its heartbeats from 1 on in each incarnation.
+	SequenceRestarts bool `toml:"sequence_restarts"`
 	// NextLimits replace the store's limits when the fault "limits" is injected. The settings
 	// of a controller announce them from its fault "upgrade" on.
 	NextLimits NextLimits `toml:"next"`
@@ -157,6 +161,23 @@
 	// SlowLinks is the number of additional periods of slow links. They are drawn from a
 	// generator stream of their own.
 	SlowLinks int `toml:"slow_links"`
+	// SpreadS is the longest time that is added to the shortest duration of a fault; zero: the
+	// default.
+	SpreadS float64 `toml:"spread_s"`
+	// Shares and Counts are values of which one is drawn as each fault's Share and Count; none:
+	// the defaults.
+	Shares []float64 `toml:"shares"`
+	Counts []int     `toml:"counts"`
+	// Variants are deployments of which one is drawn from the seed; none: the scenario's own.
+	Variants []Variant `toml:"variant"`
+}
+
+// Variant describes the controllers of a deployment and the times of its workers.
+type Variant struct {
+	Controllers int     `toml:"controllers"`
+	HeartbeatS  float64 `toml:"report_s"`
+	LeaseS      float64 `toml:"lease_s"`
+	CancelS     float64 `toml:"cancel_s"`
 }
 
 // Expectation is the state that one job, or Count consecutive jobs, must have at the end.
--- a/internal/simulation/scenario_settings.go
+++ b/internal/simulation/scenario_settings.go
@@ -52,7 +52,7 @@
 		Node: nodeName(index), Zone: zoneOfNode(index),
 		PublicAddr: nodeAddr(index, publicPort), InternalAddr: nodeAddr(index, internalPort),
 	}
-	for peer := range controllerCount {
+	for peer := range s.Controllers {
 		if peer != index {
 			platform.Peers = append(platform.Peers, settings.Peer{
 				Name: nodeName(peer), Zone: zoneOfNode(peer), Addr: nodeAddr(peer, internalPort),
@@ -74,7 +74,7 @@
 
 // describeDeployment sets the facts that are the same in the settings of all controllers.
 func (s *Scenario) describeDeployment(deployment *settings.Facts, announced bool) {
-	deployment.Nodes, deployment.Zones = controllerCount, zones
+	deployment.Nodes, deployment.Zones = s.Controllers, zones
 	for _, team := range s.Teams {
 		deployment.Teams = append(deployment.Teams, settings.Team{
 			Name: team.Name, GuaranteedGPUs: team.GPUs, MaxGPUs: team.GPUsMax,
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -12,6 +12,7 @@
 	randomScenario      = "testdata/random_1.toml"
 	slowLinksScenario   = "testdata/random_slow_links.toml"
 	randomRolesScenario = "testdata/random_duties.toml"
+	sessionsScenario    = "testdata/random_sessions.toml"
 )
 
 // scenarioFiles returns the paths of all scenario files.
@@ -71,6 +72,13 @@
 	runSeeds(t, randomRolesScenario, 9000, 10)
 }
 
+// TestSessionSeeds is TestSeeds with workers that begin new incarnations while only direct
+// commands reach them, some of them late, in deployments of several sizes and lease times.
+func TestSessionSeeds(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, sessionsScenario, 13000, 10)
+}
+
 // runSeeds runs a random scenario, as a subtest each, for count consecutive seeds from
 // firstSeed on. SIMULATION_SEEDS overrides count.
 func runSeeds(t *testing.T, file string, firstSeed, count int) {
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// controllerCount is the number of controllers of a simulated cluster.
-	controllerCount = 3
 	// epochStart is the instant at which every run starts. Log lines show the time since
 	// then.
 	epochStart = 1_700_000_000 * micros.Second
@@ -100,7 +98,7 @@
 	sim.checker = newInvariantChecker(sim)
 	sim.store = newKeyValueStore(sim)
 	sim.cloud = newCloud(sim)
-	for i := range controllerCount {
+	for i := range scenario.Controllers {
 		added := &node{index: i, name: nodeName(i), cutLinks: map[linkName]bool{}, driftStartedAt: sim.now}
 		if i < len(scenario.Clocks) {
 			added.clock = scenario.Clocks[i]
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -51,10 +51,10 @@
 //	go test -tags upgrade -run TestUpgrade ./internal/simulation
 func TestUpgrade(t *testing.T) {
 	upgrade := newUpgrade(t)
-	for i := range controllerCount {
+	for i := range processCount {
 		upgrade.startOld(i)
 	}
-	for i := range controllerCount {
+	for i := range processCount {
 		upgrade.waitReady(i)
 	}
 	// The jobs are long-running ones, bursts of arrays and of gangs that need whole machines,
@@ -65,7 +65,7 @@
 	upgrade.waitForState(service, 0, api.JobRunning)
 	upgrade.waitForState(long, 1, api.JobRunning)
 	transferredBefore := upgrade.machinesTransferred.Load()
-	for i := range controllerCount {
+	for i := range processCount {
 		upgrade.upgradeProcess(i)
 	}
 	if upgrade.machinesTransferred.Load() == transferredBefore {
@@ -78,7 +78,7 @@
 	last := upgrade.submit(951, Job{Tasks: 1, RunS: 1, Team: "oeste", Dependencies: dependencies})
 	dependent := upgrade.submit(952, Job{Tasks: 1, RunS: 1, Team: "norte", Dependencies: []int{901, 951}})
 	for _, id := range append(upgrade.burstJobs, last) {
-		upgrade.waitForState(id, upgrade.lastBurstJob%controllerCount, api.JobDone)
+		upgrade.waitForState(id, upgrade.lastBurstJob%processCount, api.JobDone)
 	}
 	upgrade.cancel(long, 1)
 	upgrade.waitForState(dependent, 2, api.JobCancelled)
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -35,7 +35,7 @@
 	interruptionAt   micros.Micros // when the cloud terminates the spot machine; zero: no notice
 	incarnation      api.Incarnation
 	fencingToken     api.FencingToken // the highest that it has received
-	sequence         uint64           // of its latest heartbeat
+	sequence         uint64           // of its latest heartbeat; counts on in the next incarnation unless SequenceRestarts is set
 	tasks            []*workerTask
 	cachedImages     map[string]bool
 	leaseStart       micros.Micros // when the latest answered heartbeat was sent
@@ -51,6 +51,7 @@
 	failing         bool     // all tasks that it starts fail
 	inboundCut      bool     // its heartbeats arrive, but no answers and commands reach it
 	outboundCut     bool     // its heartbeats don't arrive, but commands reach it
+	lateCommands    probabilisticFault
 }
 
 // newWorker launches a machine and adds it to the simulation. Its worker starts when the machine
@@ -59,7 +60,7 @@
 	launched := &worker{
 		sim: sim, name: name, addr: workerHost + strconv.Itoa(workerFirstPort+len(sim.workers)),
 		machineType: machineType, zone: zone, spot: spot,
-		launchedAt: sim.now, incarnation: 1, cachedImages: map[string]bool{}, nodeIndex: sim.rng.IntN(controllerCount),
+		launchedAt: sim.now, incarnation: 1, cachedImages: map[string]bool{}, nodeIndex: sim.rng.IntN(len(sim.nodes)),
 	}
 	sim.workers = append(sim.workers, launched)
 	if sim.transport != nil {
@@ -126,6 +127,9 @@
 	}
 	w.tasks = nil
 	w.incarnation++
+	if w.sim.scenario.SequenceRestarts {
+		w.sequence = 0
+	}
 	w.leaseStart = w.sim.now
 	w.pendingHeartbeat = 0
 	w.expediteHeartbeat()
