A new incarnation of a worker has a lease of its own

Cause: a refused direct command shows a worker's new incarnation. The leader starts tasks in it, but counted the lease of the old one until a heartbeat or an answered command extended it. With the start unanswered nothing did, and when the old lease would have been over the tasks were placed elsewhere while they ran.

Change: whoever observes a new incarnation reckons with a whole lease from then on. The worker got it when the incarnation began, no later than that, and commands that name another incarnation are refused by it, so no start outlives the bound.

--- a/internal/core/command_reply.go
+++ b/internal/core/command_reply.go
@@ -3,6 +3,7 @@
 import (
 	"spurmoor/internal/api"
 	"spurmoor/internal/cluster"
+	"spurmoor/internal/logkey"
 	"spurmoor/internal/message"
 	"spurmoor/internal/micros"
 	"spurmoor/internal/peer"
@@ -74,12 +75,24 @@
 //
 // The worker may number its messages anew in each incarnation. Nothing of this one is applied
 // yet, so any message of it counts as newer.
+//
+// The worker got a new lease when the incarnation began, no later than now. Tasks that are
+// started in the incarnation may run for as long, however soon the lease of the earlier one
+// would have expired.
 func (h *workerHandler) observeIncarnation(machine *cluster.Machine, incarnation api.Incarnation) {
 	if incarnation <= machine.Incarnation {
 		return
 	}
+	if machine.Incarnation > 0 {
+		h.LogInfo("worker restarted",
+			logkey.Machine, machine.Name,
+			logkey.Incarnation, incarnation,
+			logkey.Tasks, len(machine.TaskIDs),
+			logkey.LeaseLeftS, (machine.LeaseExpiresAt - h.Now).WholeSeconds())
+	}
 	machine.Incarnation, machine.HeartbeatSequence = incarnation, 0
 	machine.CachedImages = nil
+	h.extendWorkerLease(machine)
 	for _, id := range machine.TaskIDsCopy() {
 		job := h.cluster.Jobs[id.Job]
 		task := job.Task(id.Index)
