The store's limits are checked when a transaction comes first, not on its late copies

PROTOCOL lets transactions be applied late; the state service answers 400 to one above its limits, and nothing is lost. No controller sent anything that it must not.

In its place: every transaction is checked when it first arrives, whether it is then admitted or not, and one above the limits is refused with 400 as by the state service, copies too.

--- a/internal/simulation/effects.go
+++ b/internal/simulation/effects.go
@@ -114,7 +114,7 @@
 	s.after(delay, func() {
 		s.deliver(node, linkStore, func() {
 			if transaction {
-				s.maybeRepeat(func() { s.store.call(node, call, ignoreStoreReply) })
+				s.maybeRepeat(func() { s.store.repeat(node, call) })
 			}
 			s.store.call(node, call, receive)
 		})
