A job may be cancelled with any unknown outcome before it in its pipeline

Cause: after a restart the outcome of each ended dependency is read from the store. Until then only its direct dependents counted as possibly cancelled. The end of a job two steps behind it was taken for "done": nobody had cancelled it, and its own dependency was known and pending. Polls had the same gap.

Change: that a job may be cancelled is passed along the pipeline like a cancellation, and the end of a job that still had dependencies and had not started is never derived, but read. Dependencies are counted as their outcomes change, one step for each dependent.

--- a/internal/cluster/dependency_graph.go
+++ b/internal/cluster/dependency_graph.go
@@ -1,8 +1,6 @@
 package cluster
 
 import (
-	"slices"
-
 	"spurmoor/internal/api"
 	"spurmoor/internal/coordination"
 	"spurmoor/internal/logkey"
@@ -40,7 +38,19 @@
 type dependency struct {
 	Outcome    DependencyOutcome
 	doneAt     micros.Micros // 0: not done, or time not known
-	Dependents []*Job
+	Dependents []Dependent
+}
+
+// Dependent is an unfinished job that depends on another one.
+type Dependent struct {
+	Job  *Job
+	link int // index of the dependency among the links of Job
+}
+
+// dependencyLink connects a job with a job that it depends on.
+type dependencyLink struct {
+	upstream *dependency
+	position int // of the job among the dependents of upstream
 }
 
 // DependencyOutcome is the outcome, so far, of a job that others depend on.
@@ -50,6 +60,9 @@
 const (
 	// OutcomeUnknown means that the job has no key: it has ended, but it is not known how.
 	OutcomeUnknown DependencyOutcome = iota
+	// outcomeUndetermined means that the job has a key and may be cancelled together with a job
+	// that it depends on, directly or through others, and whose outcome is unknown.
+	outcomeUndetermined
 	// outcomePending means that the job has neither ended nor been cancelled.
 	outcomePending
 	// OutcomeDone means that the job is done.
@@ -60,6 +73,11 @@
 
 func (o DependencyOutcome) isTerminal() bool { return o >= OutcomeDone }
 
+// mayBeCancelled reports whether the job may be cancelled although that is not known.
+func (o DependencyOutcome) mayBeCancelled() bool {
+	return o == OutcomeUnknown || o == outcomeUndetermined
+}
+
 // NewDependencyGraph returns an empty dependency graph.
 func NewDependencyGraph(
 	env *coordination.Environment, cache *coordination.WatchCache, cluster *State, trigger *CycleTrigger,
@@ -77,13 +95,17 @@
 	g.outcomesToRead = nil
 }
 
-// Link adds a job to the dependents of the jobs that it depends on.
+// Link adds a job to the dependents of the jobs that it depends on, and updates the jobs that
+// depend on it: when all keys are listed, these may come before it.
 func (g *DependencyGraph) Link(job *Job) {
-	for _, id := range job.Dependencies {
+	job.links = make([]dependencyLink, len(job.Dependencies))
+	for i, id := range job.Dependencies {
 		upstream := g.ensureDependency(id)
-		upstream.Dependents = append(upstream.Dependents, job)
+		job.links[i] = dependencyLink{upstream: upstream, position: len(upstream.Dependents)}
+		upstream.Dependents = append(upstream.Dependents, Dependent{Job: job, link: i})
+		job.addDependency(upstream)
 	}
-	g.recomputeDependencies(job)
+	g.updateDependent(job)
 }
 
 // ensureDependency returns the dependency of that id, and adds it if necessary. If its
@@ -102,16 +124,22 @@
 
 // Unlink removes a job that has ended from the dependents of the jobs that it depended on.
 func (g *DependencyGraph) Unlink(job *Job) {
-	for _, id := range job.Dependencies {
-		upstream := g.ByJob[id]
-		if upstream == nil {
-			continue
-		}
-		upstream.Dependents = slices.DeleteFunc(upstream.Dependents, func(other *Job) bool { return other == job })
-		if len(upstream.Dependents) == 0 {
-			delete(g.ByJob, id)
+	for i, link := range job.links {
+		link.upstream.remove(link.position)
+		if len(link.upstream.Dependents) == 0 {
+			delete(g.ByJob, job.Dependencies[i])
 		}
 	}
+	job.links = nil
+}
+
+// remove removes the dependent at a position. The last dependent takes its place.
+func (d *dependency) remove(position int) {
+	last := len(d.Dependents) - 1
+	moved := d.Dependents[last]
+	d.Dependents[position] = moved
+	moved.Job.links[moved.link].position = position
+	d.Dependents = d.Dependents[:last]
 }
 
 // KnownOutcome returns the outcome of a job, as far as it is known without a read of the
@@ -120,14 +148,10 @@
 	if record, ok := g.TerminalStates.Records[id]; ok {
 		return outcomeOf(record), record.EndedAt
 	}
-	job := g.cluster.Jobs[id]
-	switch {
-	case job == nil:
-		return OutcomeUnknown, 0
-	case job.Cancelled:
-		return OutcomeCancelled, 0
+	if job := g.cluster.Jobs[id]; job != nil {
+		return job.outcome(), 0
 	}
-	return outcomePending, 0
+	return OutcomeUnknown, 0
 }
 
 func outcomeOf(record records.TerminalJob) DependencyOutcome {
@@ -144,15 +168,27 @@
 	if upstream == nil || upstream.Outcome == outcome || upstream.Outcome.isTerminal() {
 		return
 	}
+	previous := upstream.Outcome
 	upstream.Outcome, upstream.doneAt = outcome, at
 	if outcome == OutcomeUnknown {
 		g.outcomesToRead = append(g.outcomesToRead, id)
 	}
 	for _, dependent := range upstream.Dependents {
-		g.recomputeDependencies(dependent)
+		dependent.Job.removeDependency(previous)
+		dependent.Job.addDependency(upstream)
+		if dependent.Job.PendingDependencies == 0 {
+			g.logReleased(dependent.Job)
+		}
+		g.updateDependent(dependent.Job)
 	}
 }
 
+// logReleased logs that all dependencies of a job are done, and requests a scheduling cycle.
+func (g *DependencyGraph) logReleased(job *Job) {
+	g.LogDebug("job dependencies done", logkey.Job, job.ID, logkey.AfterS, (g.Now - job.AcceptedAt).WholeSeconds())
+	g.trigger.RequestWithin(0)
+}
+
 // RecordTerminalState stores the terminal state of a job and updates the jobs that depend on
 // it.
 func (g *DependencyGraph) RecordTerminalState(id string, record records.TerminalJob) {
@@ -162,9 +198,9 @@
 
 // TerminalOutcome returns how a job ended whose key was deleted, and whether that is known. A
 // cancellation changes the job's key before the commit of its end deletes the key, and that
-// commit compares the version of the key. So a job that was not cancelled was done. It is not
-// known how a job ended that had not started and has a dependency with an unknown outcome: it may
-// have been cancelled with that dependency.
+// commit compares the version of the key. So a job that was not cancelled, and that had no
+// dependency left or had started, was done. Any other job ended because a job that it depends
+// on, directly or through others, was cancelled before the replica was read. Its record tells.
 func (g *DependencyGraph) TerminalOutcome(job *Job) (records.TerminalJob, bool) {
 	if record, ok := g.TerminalStates.Records[job.ID]; ok {
 		return record, true
@@ -172,47 +208,68 @@
 	switch {
 	case job.Cancelled:
 		return records.TerminalJob{State: api.JobCancelled, DoneTasks: job.DoneTasks}, true
-	case job.UnknownDependencies > 0 && !job.HasStarted():
+	case job.PendingDependencies > 0 && !job.HasStarted():
 		return records.TerminalJob{}, false
 	}
 	return records.TerminalJob{State: api.JobDone, DoneTasks: job.Spec.Tasks, EndedAt: g.Now}, true
 }
 
-// recomputeDependencies recomputes whether a job must wait for its dependencies and whether it
-// is cancelled with one of them.
-func (g *DependencyGraph) recomputeDependencies(job *Job) {
-	pendingBefore := job.PendingDependencies
-	g.countDependencies(job)
-	if pendingBefore > 0 && job.PendingDependencies == 0 {
-		g.LogDebug("job dependencies done", logkey.Job, job.ID, logkey.AfterS, (g.Now - job.AcceptedAt).WholeSeconds())
-		g.trigger.RequestWithin(0)
-	}
+// updateDependent cancels a job if a job that it depends on is cancelled, and passes its
+// outcome on to the jobs that depend on it.
+func (g *DependencyGraph) updateDependent(job *Job) {
 	if job.DependencyCancelled && !job.Cancelled {
 		job.Cancelled = true
 		g.LogDebug("job cancelled with a dependency", logkey.Job, job.ID)
 		g.cluster.MarkChanged(job)
-		g.SetOutcome(job.ID, OutcomeCancelled, 0)
 	}
+	g.SetOutcome(job.ID, job.outcome(), 0)
 }
 
-// countDependencies counts a job's dependencies by their outcomes.
-func (g *DependencyGraph) countDependencies(job *Job) {
-	job.PendingDependencies, job.UnknownDependencies, job.dependenciesDoneAt = 0, 0, 0
-	for _, id := range job.Dependencies {
-		upstream := g.ByJob[id]
-		if upstream.Outcome == OutcomeDone {
-			job.dependenciesDoneAt = max(job.dependenciesDoneAt, upstream.doneAt)
-			continue
-		}
-		job.PendingDependencies++
-		switch upstream.Outcome {
-		case OutcomeUnknown:
-			job.UnknownDependencies++
-		case OutcomeCancelled:
-			job.DependencyCancelled = true
-		case outcomePending, OutcomeDone:
-		}
+// ObserveTasks updates the jobs that depend on a job of which log entries were applied: if they
+// show that it has started, all that it depends on was done.
+func (g *DependencyGraph) ObserveTasks(job *Job) {
+	if job.undeterminedDependencies > 0 {
+		g.SetOutcome(job.ID, job.outcome(), 0)
+	}
+}
+
+// addDependency counts a dependency by its outcome.
+func (j *Job) addDependency(upstream *dependency) {
+	if upstream.Outcome == OutcomeDone {
+		j.dependenciesDoneAt = max(j.dependenciesDoneAt, upstream.doneAt)
+		return
+	}
+	j.PendingDependencies++
+	if upstream.Outcome.mayBeCancelled() {
+		j.undeterminedDependencies++
+	}
+	j.DependencyCancelled = j.DependencyCancelled || upstream.Outcome == OutcomeCancelled
+}
+
+// removeDependency stops counting a dependency that had an outcome, which was not terminal.
+func (j *Job) removeDependency(previous DependencyOutcome) {
+	j.PendingDependencies--
+	if previous.mayBeCancelled() {
+		j.undeterminedDependencies--
+	}
+}
+
+// MayBeCancelled reports whether the job may be cancelled together with a job that it depends
+// on, directly or through others, although the replica does not show that. A job that has
+// started is not: all its dependencies were done.
+func (j *Job) MayBeCancelled() bool {
+	return j.undeterminedDependencies > 0 && !j.Cancelled && !j.HasStarted()
+}
+
+// outcome returns the outcome of an unfinished job for the jobs that depend on it.
+func (j *Job) outcome() DependencyOutcome {
+	switch {
+	case j.Cancelled:
+		return OutcomeCancelled
+	case j.MayBeCancelled():
+		return outcomeUndetermined
 	}
+	return outcomePending
 }
 
 // DropEnded removes the jobs that are done from the dependencies in the record of a
--- a/internal/cluster/dependency_test.go
+++ b/internal/cluster/dependency_test.go
@@ -63,17 +63,17 @@
 			job := addTestJob(t, graph.cluster, "wk-000002", 1)
 			job.Dependencies = []string{"wk-000001"}
 			graph.Link(job)
-			if job.PendingDependencies != 1 || job.UnknownDependencies != 1 {
-				t.Fatalf("got %d dependencies pending and %d unknown, want 1 and 1", job.PendingDependencies, job.UnknownDependencies)
+			if job.PendingDependencies != 1 || job.undeterminedDependencies != 1 {
+				t.Fatalf("got %d dependencies pending and %d unknown, want 1 and 1", job.PendingDependencies, job.undeterminedDependencies)
 			}
 			graph.ReadUnknownOutcomes()
 			if reads := replyToReads(t, env, tc.reply); reads != 1 {
 				t.Fatalf("got %d reads, want 1", reads)
 			}
-			if job.PendingDependencies != tc.pending || job.UnknownDependencies > 0 != tc.unknown {
+			if job.PendingDependencies != tc.pending || job.undeterminedDependencies > 0 != tc.unknown {
 				t.Errorf(
 					"got %d dependencies pending and %d unknown, want %d pending and any unknown %t",
-					job.PendingDependencies, job.UnknownDependencies, tc.pending, tc.unknown,
+					job.PendingDependencies, job.undeterminedDependencies, tc.pending, tc.unknown,
 				)
 			}
 			if job.Cancelled != tc.dependencyCancelled || job.DependencyCancelled != tc.dependencyCancelled {
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -44,11 +44,12 @@
 
 	// Dependencies. The list is written when the record is applied, the rest by the
 	// dependency graph.
-	Dependencies        []string // ids of jobs that must be done first
-	PendingDependencies int      // dependencies that are not known to be done
-	UnknownDependencies int      // dependencies that have ended with an unknown outcome
-	DependencyCancelled bool
-	dependenciesDoneAt  micros.Micros // when the last of them was done
+	Dependencies             []string         // ids of jobs that must be done first
+	links                    []dependencyLink // parallel to Dependencies
+	PendingDependencies      int              // dependencies that are not known to be done
+	undeterminedDependencies int              // pending dependencies that may be cancelled, for all that is known
+	DependencyCancelled      bool
+	dependenciesDoneAt       micros.Micros // when the last of them was done
 
 	// Failures of its tasks. Written by the task lifecycle.
 	FailedMachines map[string]bool // names of the machines that its tasks failed on
--- a/internal/core/job_lookup.go
+++ b/internal/core/job_lookup.go
@@ -76,8 +76,7 @@
 	switch {
 	case job == nil || job.Terminal:
 		l.lookUpTerminalRecord(id, done)
-	case job.UnknownDependencies > 0 && !job.HasStarted() && !job.Cancelled:
-		// A dependency with an unknown outcome may have been cancelled, and the job with it.
+	case job.MayBeCancelled():
 		done(cluster.LookupFailed, api.JobStatus{})
 	default:
 		done(cluster.JobKnown, job.Status())
--- a/internal/core/log_applier.go
+++ b/internal/core/log_applier.go
@@ -89,4 +89,5 @@
 		task.Committed = task.TaskRecord
 		task.LogSequence = sequence
 	}
+	a.dependencies.ObserveTasks(job)
 }
--- a/internal/planning/urgency.go
+++ b/internal/planning/urgency.go
@@ -53,11 +53,12 @@
 	result := ownUrgency(job)
 	if dependency := u.dependencies.ByJob[job.ID]; dependency != nil {
 		for _, dependent := range dependency.Dependents {
-			if dependent.Cancelled || dependent.Terminal {
+			downstream := dependent.Job
+			if downstream.Cancelled || downstream.Terminal {
 				continue // its urgency no longer counts
 			}
-			inherited := u.urgencyOf(dependent, slowestFetchSPerGB)
-			inherited.deadline.DownstreamS += dependent.Spec.EstimateS + dependent.Spec.ImageGB*slowestFetchSPerGB
+			inherited := u.urgencyOf(downstream, slowestFetchSPerGB)
+			inherited.deadline.DownstreamS += downstream.Spec.EstimateS + downstream.Spec.ImageGB*slowestFetchSPerGB
 			result = result.merge(inherited)
 		}
 	}
--- a/internal/simulation/effects.go
+++ b/internal/simulation/effects.go
@@ -109,7 +109,7 @@
 		if lost || call.WaitMs > 0 && node.watchStalled {
 			return
 		}
-		s.deliver(node, linkStore, func() { reply(received) })
+		s.whenStoreReplies(func() { s.deliver(node, linkStore, func() { reply(received) }) })
 	}
 	s.after(delay, func() {
 		s.deliver(node, linkStore, func() {
@@ -121,6 +121,15 @@
 	})
 }
 
+// whenStoreReplies runs an action now or, if the store answers slowly, later.
+func (s *Simulation) whenStoreReplies(action func()) {
+	if s.now >= s.faults.slowStoreUntil {
+		action()
+		return
+	}
+	s.after(micros.Random(s.rng, maxSlowReplyDelay), action)
+}
+
 // ignoreStoreReply receives the replies that are lost.
 func ignoreStoreReply(*message.StoreReply) {}
 
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -34,6 +34,7 @@
 // Faults of the key-value store and of the cloud.
 const (
 	FaultStoreOutage     FaultKind = "store_outage"
+	FaultSlowStore       FaultKind = "slow_store"
 	FaultLowerLimits     FaultKind = "limits" // the store's next limits take effect
 	FaultCorruptLogEntry FaultKind = "garble" // the value of a log entry becomes unreadable
 	FaultCloudOutage     FaultKind = "cloud_outage"
@@ -125,6 +126,7 @@
 	queryBurstsUntil        micros.Micros
 	unansweredJob           string // ID of the job whose user gets no answers to its polls
 	slowLinksUntil          micros.Micros
+	slowStoreUntil          micros.Micros
 	isolatedZone            string // the zone that is cut off from all others
 	heldPackets             []func()
 }
@@ -182,6 +184,7 @@
 	FaultSlowLinks: (*Simulation).injectSlowLinks,
 
 	FaultStoreOutage:     (*Simulation).injectStoreOutage,
+	FaultSlowStore:       (*Simulation).injectSlowStore,
 	FaultLowerLimits:     (*Simulation).injectLowerLimits,
 	FaultCorruptLogEntry: (*Simulation).injectCorruptLogEntry,
 	FaultCloudOutage:     (*Simulation).injectCloudOutage,
--- a/internal/simulation/faults_services.go
+++ b/internal/simulation/faults_services.go
@@ -4,11 +4,17 @@
 	"fmt"
 
 	"spurmoor/internal/api"
+	"spurmoor/internal/micros"
 	"spurmoor/internal/records"
 )
 
+// maxSlowReplyDelay is the longest delay of a reply of a store that answers slowly.
+const maxSlowReplyDelay = micros.Second
+
 func (s *Simulation) injectStoreOutage(fault injection) { s.store.startOutage(fault.duration) }
 
+func (s *Simulation) injectSlowStore(fault injection) { s.faults.slowStoreUntil = fault.until }
+
 // injectLowerLimits replaces the store's limits by its next limits.
 func (s *Simulation) injectLowerLimits(injection) {
 	next := s.scenario.NextLimits
--- a/internal/simulation/scenarios_test.go
+++ b/internal/simulation/scenarios_test.go
@@ -13,6 +13,7 @@
 	slowLinksScenario   = "testdata/random_slow_links.toml"
 	randomRolesScenario = "testdata/random_duties.toml"
 	sessionsScenario    = "testdata/random_sessions.toml"
+	pipelinesScenario   = "testdata/random_pipelines.toml"
 )
 
 // scenarioFiles returns the paths of all scenario files.
@@ -79,6 +80,13 @@
 	runSeeds(t, sessionsScenario, 13515, 10)
 }
 
+// TestPipelineSeeds is TestSeeds with long pipelines that are cancelled while controllers
+// restart and the store answers slowly.
+func TestPipelineSeeds(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, pipelinesScenario, 17175, 10)
+}
+
 // runSeeds runs a random scenario, as a subtest each, for count consecutive seeds from
 // firstSeed on. SIMULATION_SEEDS overrides count.
 func runSeeds(t *testing.T, file string, firstSeed, count int) {
