Many outcomes of ended jobs are read by pages, not one by one

A submission that named hundreds of ended jobs was answered 503 until its user gave up.

Cause: each terminal record was read by a request of its own, 16 at a time, or 32 at a time for submissions, within the requests that all controllers share.

Change: from 32 on, the records are read by pages of the store's sorted keys. A page begins with the next record that is looked for.

TestVerifyDependencies demanded 503 for a submission with 33 ended dependencies. That case was the fault: PROTOCOL lets a submission name as many as its body holds. It now demands one request and acceptance, and three cases check long lists with a job that never was, with a lost reply and with all scans in use.

--- a/internal/cluster/dependency_check.go
+++ b/internal/cluster/dependency_check.go
@@ -39,26 +39,25 @@
 		c.accept()
 		return
 	}
-	limit := max(0, maxOutcomeReads-c.graph.outcomeReads)
-	if limit == 0 {
+	switch {
+	case len(unknown) <= maxOutcomeReads-c.graph.outcomeReads:
+		c.graph.readOutcomes(unknown, func(batch *outcomeBatch) { c.handleOutcomes(batch.missing, batch.failed) })
+	case c.graph.outcomeScans < maxOutcomeScans:
+		// A scan may take longer than the user waits. The user's next attempt finds what it has
+		// read in memory.
+		c.graph.scanOutcomes(unknown, func(scan *outcomeScan) { c.handleOutcomes(scan.firstMissing(), len(scan.failed()) > 0) })
+	default:
 		c.answer(message.StatusServiceUnavailable, "too many submissions that name others at a time")
-		return
 	}
-	// A list that is longer than the limit takes several attempts of its user. Each attempt
-	// finds more of the outcomes in memory.
-	complete := len(unknown) <= limit
-	c.graph.readOutcomes(unknown[:min(len(unknown), limit)], func(batch *outcomeBatch) {
-		c.handleOutcomesRead(batch, complete)
-	})
 }
 
-// handleOutcomesRead continues once the terminal records in the batch were read; complete
-// reports whether the batch held all unknown dependencies.
-func (c *dependencyCheck) handleOutcomesRead(batch *outcomeBatch, complete bool) {
+// handleOutcomes continues once the terminal records of the unknown dependencies were read.
+// missing is a dependency without a record, or empty. failed reports that not all were read.
+func (c *dependencyCheck) handleOutcomes(missing string, failed bool) {
 	switch {
-	case batch.missing != "":
-		c.answer(message.StatusUnprocessableEntity, batch.missing+" was never accepted")
-	case batch.failed || !complete:
+	case missing != "":
+		c.answer(message.StatusUnprocessableEntity, missing+" was never accepted")
+	case failed:
 		c.answer(message.StatusServiceUnavailable, "not all jobs that it names could be looked up")
 	default:
 		c.accept()
--- a/internal/cluster/dependency_graph.go
+++ b/internal/cluster/dependency_graph.go
@@ -31,7 +31,9 @@
 	// Reads of terminal records of dependencies; see ReadUnknownOutcomes.
 	outcomesToRead    []string // ids of jobs that are or were in ByJob
 	nextOutcomeReadAt micros.Micros
-	outcomeReads      int // number of reads in flight
+	outcomeReads      int  // number of reads in flight
+	outcomeScans      int  // number of scans in flight
+	scanInFlight      bool // one of them is for outcomesToRead
 }
 
 // dependency is a job that unfinished jobs depend on.
--- a/internal/cluster/dependency_test.go
+++ b/internal/cluster/dependency_test.go
@@ -36,6 +36,19 @@
 	}
 }
 
+// terminalPage returns a page of the records of count jobs that are done, numbered from 0, and of
+// jobs between them that nobody asks for.
+func terminalPage(t *testing.T, count int, more bool) message.StoreReply {
+	t.Helper()
+	reply := message.StoreReply{Status: message.StatusOK, Page: api.KeyValuePage{More: more}}
+	value := records.MustMarshal(records.TerminalJob{State: api.JobDone})
+	for i := range count {
+		key := fmt.Sprintf("%swk-%06d", records.TerminalPrefix, i)
+		reply.Page.Pairs = append(reply.Page.Pairs, api.KeyValue{Key: key, Value: value}, api.KeyValue{Key: key + "0", Value: value})
+	}
+	return reply
+}
+
 // TestUnknownDependency checks a job that depends on one that ended before the replica could
 // show how.
 func TestUnknownDependency(t *testing.T) {
@@ -144,11 +157,19 @@
 			want: message.StatusServiceUnavailable, reads: 1,
 		},
 		{
-			name: "more than are read at a time", dependencies: maxOutcomeReads + 1, replicaRead: true,
-			reply: terminalReply(t, api.JobDone), want: message.StatusServiceUnavailable, reads: maxOutcomeReads,
+			name: "more than are read one by one", dependencies: maxOutcomeReads + 1, replicaRead: true,
+			reply: terminalPage(t, maxOutcomeReads+1, false), want: accepted, reads: 1,
+		},
+		{
+			name: "one of many was never accepted", dependencies: maxOutcomeReads + 2, replicaRead: true,
+			reply: terminalPage(t, maxOutcomeReads+1, false), want: message.StatusUnprocessableEntity, reads: 1,
+		},
+		{
+			name: "many, not read", dependencies: maxOutcomeReads + 1, replicaRead: true,
+			reply: message.StoreReply{Status: message.StatusServiceUnavailable}, want: message.StatusServiceUnavailable, reads: 1,
 		},
 		{name: "too many in flight", dependencies: 1, prepare: func(graph *DependencyGraph) {
-			graph.outcomeReads = maxOutcomeReads
+			graph.outcomeReads, graph.outcomeScans = maxOutcomeReads, maxOutcomeScans
 		}, replicaRead: true, want: message.StatusServiceUnavailable},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/cluster/outcome_reading.go
+++ b/internal/cluster/outcome_reading.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"slices"
+
 	"github.com/go-json-experiment/json"
 
 	"spurmoor/internal/logkey"
@@ -33,10 +35,15 @@
 )
 
 // ReadUnknownOutcomes reads the terminal records of dependencies that ended before the replica
-// could show how. It starts as many reads as maxReplicaReads permits; the others follow in
-// later calls.
+// could show how. Until they are read, users get no answer about the jobs that may be cancelled
+// with them. After a restart there may be thousands, which a scan reads. A few are read one by
+// one: it starts as many reads as maxReplicaReads permits; the others follow in later calls.
 func (g *DependencyGraph) ReadUnknownOutcomes() {
-	if !g.cache.Synced || g.Now < g.nextOutcomeReadAt {
+	if !g.cache.Synced || g.Now < g.nextOutcomeReadAt || g.scanInFlight {
+		return
+	}
+	if len(g.outcomesToRead) >= minScannedOutcomes {
+		g.scanUnknownOutcomes()
 		return
 	}
 	for len(g.outcomesToRead) > 0 && g.outcomeReads < maxReplicaReads {
@@ -53,6 +60,25 @@
 	}
 }
 
+// scanUnknownOutcomes scans the terminal records of all dependencies with unknown outcomes.
+func (g *DependencyGraph) scanUnknownOutcomes() {
+	unknown := slices.DeleteFunc(g.outcomesToRead, func(id string) bool { return !g.isOutcomeUnknown(id) })
+	g.outcomesToRead = nil
+	if len(unknown) == 0 {
+		return
+	}
+	g.scanInFlight = true
+	g.scanOutcomes(unknown, func(scan *outcomeScan) {
+		g.scanInFlight = false
+		for _, id := range scan.missing {
+			g.handleDependencyRead(id, JobNeverAccepted)
+		}
+		for _, id := range scan.failed() {
+			g.handleDependencyRead(id, LookupFailed)
+		}
+	})
+}
+
 // isOutcomeUnknown reports whether unfinished jobs depend on the job and its outcome is not
 // known.
 func (g *DependencyGraph) isOutcomeUnknown(id string) bool {
@@ -102,14 +128,21 @@
 	if reply.Status != message.StatusOK {
 		return LookupFailed
 	}
-	var record records.TerminalJob
-	if err := json.Unmarshal(reply.Item.Value, &record); err != nil || record.State == "" {
+	record, ok := decodeTerminalRecord(reply.Item.Value)
+	if !ok {
 		return LookupFailed
 	}
 	g.RecordTerminalState(id, record)
 	return JobKnown
 }
 
+// decodeTerminalRecord decodes a terminal record and reports whether it is readable.
+func decodeTerminalRecord(value []byte) (records.TerminalJob, bool) {
+	var record records.TerminalJob
+	err := json.Unmarshal(value, &record)
+	return record, err == nil && record.State != ""
+}
+
 // outcomeBatch collects the results of reading the terminal records of several jobs.
 type outcomeBatch struct {
 	remaining  int    // number of records not read yet
--- a/internal/message/effects.go
+++ b/internal/message/effects.go
@@ -25,7 +25,7 @@
 type StoreCall struct {
 	CallID      uint64
 	Op          StoreOp
-	Key         string       // for OpGet, the key; for OpList, the last key of the previous page
+	Key         string       // for OpGet, the key; for the lists, the page begins after this key
 	Since       api.Revision // for OpWatch: changes after this revision are returned
 	WaitMs      int          // for OpWatch: how long to wait for a change, in milliseconds
 	LeaseID     uint64       // for OpRenewLease
@@ -47,6 +47,8 @@
 	OpGrantLease
 	OpRenewLease
 	OpWatch
+	// OpListTerminal lists the terminal records of jobs, OpList all live keys.
+	OpListTerminal
 )
 
 // CloudCall is a request to the cloud.
--- a/internal/simulation/loopback_services_test.go
+++ b/internal/simulation/loopback_services_test.go
@@ -9,6 +9,7 @@
 	"spurmoor/internal/api"
 	"spurmoor/internal/leadership"
 	"spurmoor/internal/message"
+	"spurmoor/internal/records"
 
 	"github.com/go-json-experiment/json"
 )
@@ -34,12 +35,13 @@
 	})
 	reply := <-replies
 	bodies := map[message.StoreOp]any{
-		message.OpGet:         reply.Item,
-		message.OpList:        reply.Page,
-		message.OpTransaction: reply.Transaction,
-		message.OpGrantLease:  api.LeaseResponse{Lease: reply.LeaseID},
-		message.OpRenewLease:  struct{}{},
-		message.OpWatch:       reply.Watch,
+		message.OpGet:          reply.Item,
+		message.OpList:         reply.Page,
+		message.OpListTerminal: reply.Page,
+		message.OpTransaction:  reply.Transaction,
+		message.OpGrantLease:   api.LeaseResponse{Lease: reply.LeaseID},
+		message.OpRenewLease:   struct{}{},
+		message.OpWatch:        reply.Watch,
 	}
 	l.reply(writer, reply.Status, bodies[call.Op])
 }
@@ -50,6 +52,9 @@
 	path, query := request.URL.Path, request.URL.Query()
 	switch {
 	case path == "/store":
+		if query.Get("Under") == records.TerminalPrefix {
+			return message.StoreCall{Op: message.OpListTerminal, Key: query.Get("Since")}, nil
+		}
 		return message.StoreCall{Op: message.OpList, Key: query.Get("Since")}, nil
 	case strings.HasPrefix(path, "/store/"):
 		return message.StoreCall{Op: message.OpGet, Key: strings.TrimPrefix(path, "/store/")}, nil
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -174,7 +174,9 @@
 	case message.OpGet:
 		s.get(call.Key, answer)
 	case message.OpList:
-		s.list(call.Key, answer)
+		s.list(records.LivePrefix, call.Key, answer)
+	case message.OpListTerminal:
+		s.list(records.TerminalPrefix, call.Key, answer)
 	case message.OpGrantLease:
 		s.grantLease(micros.FromMilliseconds(int(call.TTLMs)), answer)
 	case message.OpRenewLease:
@@ -214,10 +216,10 @@
 	answer.Item = api.KeyValue{Key: key, Value: value.data, Version: value.version}
 }
 
-// list replies with a page of the live keys that sort after the given one.
-func (s *keyValueStore) list(after string, answer *message.StoreReply) {
+// list replies with a page of the keys with a prefix that sort after the given one.
+func (s *keyValueStore) list(prefix, after string, answer *message.StoreReply) {
 	answer.Page.Revision = s.revision
-	for _, key := range s.sortedKeys(records.LivePrefix) {
+	for _, key := range s.sortedKeys(prefix) {
 		if key <= after {
 			continue
 		}
--- a/internal/store/decode.go
+++ b/internal/store/decode.go
@@ -60,7 +60,7 @@
 		return &reply.Transaction
 	case message.OpGet:
 		return &reply.Item
-	case message.OpList:
+	case message.OpList, message.OpListTerminal:
 		return &reply.Page
 	case message.OpGrantLease:
 		return lease
--- a/internal/store/request.go
+++ b/internal/store/request.go
@@ -31,7 +31,9 @@
 	case message.OpGet:
 		request.URI = "/store/" + call.Key
 	case message.OpList:
-		request.URI = "/store?" + listQuery(call).Encode()
+		request.URI = "/store?" + listQuery(records.LivePrefix, call.Key).Encode()
+	case message.OpListTerminal:
+		request.URI = "/store?" + listQuery(records.TerminalPrefix, call.Key).Encode()
 	case message.OpTransaction:
 		transaction := call.Transaction.Body()
 		request.URI = "/txn"
@@ -52,11 +54,12 @@
 	return request
 }
 
-// listQuery returns the query for the page of live keys after the call's key.
-func listQuery(call message.StoreCall) url.Values {
-	query := url.Values{"Under": {records.LivePrefix}, "Most": {strconv.Itoa(pageSize)}}
-	if call.Key != "" {
-		query.Set("Since", call.Key)
+// listQuery returns the query for the page of keys with a prefix after a key, or for the first
+// page if the key is empty.
+func listQuery(prefix, after string) url.Values {
+	query := url.Values{"Under": {prefix}, "Most": {strconv.Itoa(pageSize)}}
+	if after != "" {
+		query.Set("Since", after)
 	}
 	return query
 }
