A withdrawn job keeps its number of done tasks on every controller

Seen: controllers that learned of a withdrawn job's end by the deletion of its key told "done":0; those that had committed or read its terminal record told the right number.

Cause: the job's tasks were removed from the replica before its outcome was taken, so that the count, and whether the job had started, were gone.

Change: the outcome is taken first. TestCancelledJobKeepsDoneTasks failed before.

This order alone makes the difference: withdrawn jobs are answered with that number, and a job that had started while an outcome before it was unknown is taken for done without a read.

--- a/internal/core/job_record_test.go
+++ b/internal/core/job_record_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"spurmoor/internal/api"
+	"spurmoor/internal/cluster"
 	"spurmoor/internal/records"
 )
 
@@ -29,6 +30,22 @@
 	}
 }
 
+// TestCancelledJobKeepsDoneTasks guards against controllers that tell users different numbers of
+// done tasks of a cancelled job: that of its terminal record, or none.
+func TestCancelledJobKeepsDoneTasks(t *testing.T) {
+	fixture := newSyncedFixture(t)
+	job := fixture.cluster.Jobs[testJob]
+	fixture.cluster.SetTask(job, 0, cluster.TaskRecord{State: records.TaskDone, Attempt: 1})
+	cancelled := records.MustMarshal(records.Job{Spec: job.Spec, AcceptedAt: 1, Cancelled: true})
+	fixture.applyWatchReply(
+		5, api.Event{Put: fixture.jobPut.Put, Value: cancelled, Version: 4}, api.Event{Delete: fixture.jobPut.Put, Version: 5},
+	)
+	want := records.TerminalJob{State: api.JobCancelled, DoneTasks: 1}
+	if got := fixture.dependencies.TerminalStates.Records[testJob]; got != want {
+		t.Errorf("got terminal state %+v, want %+v", got, want)
+	}
+}
+
 // TestPackedDependencies checks that unpacking a long list of dependencies restores it,
 // including leading zeros. The packed list must be short enough that several hundred
 // dependencies fit into a value of 2 KiB together with the job.
--- a/internal/core/record_applier.go
+++ b/internal/core/record_applier.go
@@ -281,8 +281,8 @@
 	if job == nil || job.Version >= version {
 		return
 	}
-	a.clearTasks(job)
 	record, isKnown := a.dependencies.TerminalOutcome(job)
+	a.clearTasks(job)
 	a.cluster.RemoveJob(job)
 	a.dependencies.Unlink(job)
 	if isKnown {
