A plan counts the tasks of a job instead of going through them one by one

No question was answered and no lease renewed for over 75 s.

Cause: the planner handled each task by itself. Each of a launched machine's tasks was inserted at the front of a sorted list of all others (the square of the tasks); each task of a service looked at all machines; each task that room was sought for went through the machine's list from its start.

Change: an allocation and a binding hold a number of tasks. Room is given to as many tasks as fit at once, and a machine's future room is followed by one pass (roomForecast). One log line says what a plan places of a job on a machine.

--- a/internal/planning/plan_execution.go
+++ b/internal/planning/plan_execution.go
@@ -64,21 +64,27 @@
 			queue = c.newTaskQueue(job)
 			queues[job.ID] = queue
 		}
-		index, attempt := queue.next()
-		c.bindTask(job, index, attempt, binding.Machine.Name)
+		c.placeTasks(job, queue, binding)
 	}
 }
 
-// bindTask places a task on a machine, and ends the job's claim on that machine.
-func (c *SchedulingCycle) bindTask(job *cluster.Job, index int, attempt api.Attempt, machineName string) {
-	c.cluster.ChangeTask(job, index, cluster.TaskRecord{State: records.TaskPlaced, Attempt: attempt, Machine: machineName})
-	c.LogDebug("task placed",
+// placeTasks places the next tasks of a job on a machine, and ends the job's claim on that
+// machine.
+func (c *SchedulingCycle) placeTasks(job *cluster.Job, queue *taskQueue, binding scheduler.Binding) {
+	machine := c.cluster.Machines[binding.Machine.Name]
+	first := queue.pending[0]
+	for range binding.Tasks {
+		index, attempt := queue.next()
+		c.cluster.ChangeTask(job, index, cluster.TaskRecord{State: records.TaskPlaced, Attempt: attempt, Machine: machine.Name})
+	}
+	c.LogDebug("tasks placed",
 		logkey.Job, job.ID,
-		logkey.Task, index,
-		logkey.Attempt, attempt,
-		logkey.Machine, machineName,
+		logkey.Task, first,
+		logkey.Tasks, binding.Tasks,
+		logkey.Attempt, job.Task(first).Attempt,
+		logkey.Machine, machine.Name,
 		logkey.WaitedS, (c.Now - job.EligibleAt()).WholeSeconds())
-	if machine := c.cluster.Machines[machineName]; machine.ClaimedBy == job.ID {
+	if machine.ClaimedBy == job.ID {
 		machine.ClaimedBy = ""
 	}
 }
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -139,12 +139,17 @@
 	if pass == roomSoon && machine.lastRejectedStart > latestStart || !d.mayAssign(job, machine) {
 		return 0
 	}
+	if job.tasksAllowedIn(machine.Zone) <= 0 {
+		return 0
+	}
+	duration := job.estimatedRuntime() + job.imageFetchTime(machine.Type)
+	forecast := newRoomForecast(machine, d.Now)
 	assigned := 0
-	for assigned < tasks && job.tasksAllowedIn(machine.Zone) > 0 {
-		if pass == roomNow && !machine.Free.Fits(job.Request) {
-			break
+	for assigned < tasks && (pass == roomSoon || machine.Free.Fits(job.Request)) {
+		start := forecast.advanceTo(job.Request)
+		if machine.LentOut && start < never {
+			start = max(start, machine.ReadyAt) // it must be back first
 		}
-		start := machine.availableAt(job.Request, d.Now)
 		if start > latestStart || start == never {
 			if pass == roomSoon {
 				machine.lastRejectedStart = start
@@ -152,14 +157,24 @@
 			break
 		}
 		d.borrowIfNeeded(machine)
-		end := start + job.estimatedRuntime() + job.imageFetchTime(machine.Type)
-		machine.allocate(job, end)
-		d.extendExpectedEnd(job, end)
-		assigned++
+		count := min(tasks-assigned, tasksFittingAt(forecast, job, pass, duration))
+		forecast.allocate(job, count, start+duration)
+		d.extendExpectedEnd(job, start+duration)
+		assigned += count
 	}
 	return assigned
 }
 
+// tasksFittingAt returns how many of the job's tasks, which take the given time, can start at
+// the time of the forecast. Tasks that take no time can start one after the other then, unless
+// they are of a service, which does not end.
+func tasksFittingAt(forecast roomForecast, job *Job, pass roomPass, duration micros.Micros) int {
+	if pass == roomSoon && duration == 0 && job.Spec.Kind != api.KindService {
+		return job.Spec.Tasks
+	}
+	return forecast.free.FitCount(job.Request)
+}
+
 // borrowIfNeeded adds the machine to MachinesToBorrow, once, if another partition has it.
 func (d *demandPlanner) borrowIfNeeded(machine *Machine) {
 	if (machine.Borrowable || machine.LentOut) && !d.borrowed[machine] {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -17,12 +17,12 @@
 // placeGang binds all pending tasks of the gang, using the fewest zones and the fewest
 // machines in them. If they do not all fit, it binds none and returns false.
 func (p *placer) placeGang(job *Job) bool {
-	var machines []*Machine
+	var shares []machineShare
 	remaining := job.PendingTasks
 	for _, zone := range p.gangZones(job) {
 		tasks := min(remaining, zone.taskCapacity)
 		remaining -= tasks
-		machines = append(machines, zone.machinesFor(job, tasks)...)
+		shares = append(shares, zone.sharesFor(job, tasks)...)
 		if remaining == 0 || job.Spec.OneZone {
 			break
 		}
@@ -30,8 +30,8 @@
 	if remaining > 0 {
 		return false
 	}
-	for _, machine := range machines {
-		p.bindTask(job, machine)
+	for _, share := range shares {
+		p.bindTasks(job, share.machine, share.tasks)
 	}
 	return true
 }
@@ -110,15 +110,22 @@
 	return math.MaxInt32
 }
 
-// machinesFor returns the machine of each of the given number of tasks. A machine that gets
-// several tasks is in the list several times.
-func (z *gangZone) machinesFor(job *Job, tasks int) []*Machine {
-	var machines []*Machine
+// machineShare is how many tasks of a gang a machine gets.
+type machineShare struct {
+	machine *Machine
+	tasks   int
+}
+
+// sharesFor distributes the given number of tasks among the zone's machines.
+func (z *gangZone) sharesFor(job *Job, tasks int) []machineShare {
+	var shares []machineShare
 	for _, machine := range z.machines {
-		for slots := machine.Free.FitCount(job.Request); slots > 0 && tasks > 0; slots-- {
-			machines = append(machines, machine)
-			tasks--
+		if tasks == 0 {
+			break
 		}
+		onMachine := min(tasks, machine.Free.FitCount(job.Request))
+		shares = append(shares, machineShare{machine, onMachine})
+		tasks -= onMachine
 	}
-	return machines
+	return shares
 }
--- a/internal/scheduler/launch.go
+++ b/internal/scheduler/launch.go
@@ -52,10 +52,9 @@
 	assigned := 0
 	for range count {
 		machine := option.newMachine(bootedAt)
-		for range min(tasks-assigned, tasksPerMachine) {
-			machine.allocate(job, end)
-			assigned++
-		}
+		onMachine := min(tasks-assigned, tasksPerMachine)
+		machine.allocate(job, onMachine, end)
+		assigned += onMachine
 		d.machines = append(d.machines, machine)
 	}
 	d.plan.BlockedReasons[job.ID] = reasonLaunching
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -17,17 +17,22 @@
 // the job is chosen when the plan is executed.
 const plannedTaskIndex = -1
 
-// Allocation holds the resources that one task uses on a machine.
+// Allocation holds the resources that a task uses on a machine, or that several tasks of a job
+// will use which the plan adds there with the same expected end.
 type Allocation struct {
 	Job             *Job // nil for a task of a cancelled job
 	TaskIndex       int
-	Request         Resources
+	Tasks           int           // number of tasks; 0 stands for 1, see taskCount
+	Request         Resources     // of each task
 	ExpectedEnd     micros.Micros // according to the owner's estimate
 	LostWork        micros.Micros // work lost if the task is preempted now
 	Stopping        bool          // a stop of the task was already requested
 	StartedRecently bool          // so recently that a preemption would undo the start
 }
 
+// taskCount returns the number of tasks.
+func (a *Allocation) taskCount() int64 { return int64(max(1, a.Tasks)) }
+
 // InstanceKind identifies the machines that one request to the cloud can ask for.
 type InstanceKind struct {
 	Type string
@@ -73,15 +78,15 @@
 
 func (m *Machine) kind() InstanceKind { return InstanceKind{m.Type.Name, m.Zone, m.Spot} }
 
-// allocate adds a task of the job that is expected to end at end. It keeps the allocations
+// allocate adds tasks of the job that are expected to end at end. It keeps the allocations
 // sorted by expected end.
-func (m *Machine) allocate(job *Job, end micros.Micros) {
-	m.Free = m.Free.AddScaled(job.Request, -1)
+func (m *Machine) allocate(job *Job, tasks int, end micros.Micros) {
+	m.Free = m.Free.AddScaled(job.Request, -int64(tasks))
 	m.sortAllocations()
 	at, _ := slices.BinarySearchFunc(m.Allocations, end, func(other Allocation, end micros.Micros) int {
 		return cmp.Compare(other.ExpectedEnd, end)
 	})
-	allocation := Allocation{Job: job, TaskIndex: plannedTaskIndex, Request: job.Request, ExpectedEnd: end}
+	allocation := Allocation{Job: job, TaskIndex: plannedTaskIndex, Tasks: tasks, Request: job.Request, ExpectedEnd: end}
 	m.Allocations = slices.Insert(m.Allocations, at, allocation)
 }
 
@@ -106,35 +111,57 @@
 }
 
 // freeAt returns when the machine is expected to have room for the request, or never.
-// Services do not end, so the resources that they use are not counted on.
 func (m *Machine) freeAt(request Resources, now micros.Micros) micros.Micros {
-	if !m.Total.Fits(request) {
+	forecast := newRoomForecast(m, now)
+	return forecast.advanceTo(request)
+}
+
+// roomForecast follows how the resources of a machine become free over time as its tasks end.
+type roomForecast struct {
+	machine *Machine
+	free    Resources
+	at      micros.Micros // when free is available
+	next    int           // index of the allocation that ends next
+}
+
+// newRoomForecast returns a forecast that begins when the machine accepts tasks.
+func newRoomForecast(machine *Machine, now micros.Micros) roomForecast {
+	return roomForecast{machine: machine, free: machine.Free, at: machine.schedulableAt(now)}
+}
+
+// advanceTo advances to the time at which there is room for the request, and returns that time
+// or never. Services do not end, so the resources that they use are not counted on.
+func (f *roomForecast) advanceTo(request Resources) micros.Micros {
+	if !f.machine.Total.Fits(request) {
 		return never
 	}
-	at := m.schedulableAt(now)
-	free := m.Free
-	if free.Fits(request) {
-		return at
+	if f.free.Fits(request) {
+		return f.at
 	}
-	m.sortAllocations()
-	for _, allocation := range m.Allocations {
+	f.machine.sortAllocations()
+	for f.next < len(f.machine.Allocations) {
+		allocation := &f.machine.Allocations[f.next]
+		f.next++
 		if allocation.Job != nil && allocation.Job.Spec.Kind == api.KindService {
 			continue
 		}
-		free = free.AddScaled(allocation.Request, 1)
-		if free.Fits(request) {
-			return max(at, allocation.ExpectedEnd)
+		f.free = f.free.AddScaled(allocation.Request, allocation.taskCount())
+		if f.free.Fits(request) {
+			f.at = max(f.at, allocation.ExpectedEnd)
+			return f.at
 		}
 	}
 	return never
 }
 
-// availableAt returns when the machine is expected to have room for the request and, if it
-// is lent out, to be back.
-func (m *Machine) availableAt(request Resources, now micros.Micros) micros.Micros {
-	at := m.freeAt(request, now)
-	if m.LentOut && at < never {
-		at = max(at, m.ReadyAt)
+// allocate adds tasks of the job to the machine, which use room that is free at f.at. They must
+// not end before that. Tasks that take no time leave the room free, unless they are of a service.
+func (f *roomForecast) allocate(job *Job, tasks int, end micros.Micros) {
+	f.machine.allocate(job, tasks, end)
+	if end == f.at {
+		f.next++ // their allocation was inserted among those that have ended
+	}
+	if end > f.at || job.Spec.Kind == api.KindService {
+		f.free = f.free.AddScaled(job.Request, -int64(tasks))
 	}
-	return at
 }
--- a/internal/scheduler/machine_sort_key.go
+++ b/internal/scheduler/machine_sort_key.go
@@ -25,15 +25,27 @@
 	if job.Spec.Kind == api.KindService {
 		key.zoneTasks = int64(job.TasksPerZone[machine.Zone])
 	}
-	if !machine.HasImage(job.Spec.Image) {
-		key.startCostS = job.imageFetchTime(machine.Type).WholeSeconds()
+	key.startCostS = startCostS(job, machine, machine.HasImage(job.Spec.Image))
+	key.setFree(machine.Free.AddScaled(job.Request, -1))
+	return key
+}
+
+// startCostS returns the seconds to fetch the image, unless the machine has it, plus
+// onDemandPenaltyS for an on-demand machine.
+func startCostS(job *Job, machine *Machine, hasImage bool) int64 {
+	cost := int64(0)
+	if !hasImage {
+		cost = job.imageFetchTime(machine.Type).WholeSeconds()
 	}
 	if !machine.Spot {
-		key.startCostS += onDemandPenaltyS
+		cost += onDemandPenaltyS
 	}
-	free := machine.Free.AddScaled(job.Request, -1)
-	key.freeMilliGPU, key.freeMilliCPU = free.MilliGPU, free.MilliCPU
-	return key
+	return cost
+}
+
+// setFree sets what is left on the machine once the task is placed.
+func (k *machineSortKey) setFree(free Resources) {
+	k.freeMilliGPU, k.freeMilliCPU = free.MilliGPU, free.MilliCPU
 }
 
 // compare returns a negative number if k is better than other and a positive one if it is
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -99,7 +99,7 @@
 	case api.KindArray:
 		tasks = p.packArray(job, tasks)
 	default:
-		tasks = p.placeOneByOne(job, tasks)
+		tasks = p.spreadService(job, tasks)
 	}
 	if tasks > 0 {
 		p.plan.BlockedReasons[job.ID] = reasonNoMachine
@@ -121,56 +121,40 @@
 	}
 }
 
-// placeOneByOne binds up to the given number of tasks, one after the other, and chooses the
-// best machine anew for each. It returns how many find no machine.
-func (p *placer) placeOneByOne(job *Job, tasks int) int {
-	for ; tasks > 0; tasks-- {
-		machine := p.chooseMachine(job)
-		if machine == nil {
-			break
-		}
-		p.bindTask(job, machine)
-	}
-	return tasks
-}
-
 // packArray binds up to the given number of an array's tasks. It fills one machine after the
 // other, in the order of their sort keys, and returns how many tasks find no machine.
 func (p *placer) packArray(job *Job, tasks int) int {
-	type candidate struct {
-		machine *Machine
-		sortKey machineSortKey
-	}
-	var candidates []candidate
-	for _, machine := range p.Machines {
-		if p.canPlace(job, machine) && job.tasksAllowedIn(machine.Zone) > 0 {
-			candidates = append(candidates, candidate{machine, newMachineSortKey(job, machine)})
+	for _, candidate := range p.candidates(job) {
+		if tasks == 0 {
+			break
 		}
-	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.sortKey.compare(&b.sortKey) })
-	for _, c := range candidates {
-		for tasks > 0 && c.machine.Free.Fits(job.Request) && job.tasksAllowedIn(c.machine.Zone) > 0 {
-			p.bindTask(job, c.machine)
-			tasks--
+		machine := candidate.machine
+		count := min(tasks, machine.Free.FitCount(job.Request), job.tasksAllowedIn(machine.Zone))
+		if count > 0 {
+			p.bindTasks(job, machine, count)
+			tasks -= count
 		}
 	}
 	return tasks
 }
 
-// chooseMachine returns the best machine for one task, or nil if none has room.
-func (p *placer) chooseMachine(job *Job) *Machine {
-	var best *Machine
-	var bestKey machineSortKey
-	for _, machine := range p.Machines {
-		if !p.canPlace(job, machine) || job.tasksAllowedIn(machine.Zone) <= 0 {
-			continue
-		}
-		sortKey := newMachineSortKey(job, machine)
-		if best == nil || sortKey.compare(&bestKey) < 0 {
-			best, bestKey = machine, sortKey
+// candidate is a machine on which a task can be bound.
+type candidate struct {
+	machine *Machine
+	sortKey machineSortKey
+	index   int // of the machine in the snapshot; the first of equal machines is the best
+}
+
+// candidates returns the machines on which a task of the job can be bound now, best first.
+func (p *placer) candidates(job *Job) []candidate {
+	var list []candidate
+	for i, machine := range p.Machines {
+		if p.canPlace(job, machine) && job.tasksAllowedIn(machine.Zone) > 0 {
+			list = append(list, candidate{machine, newMachineSortKey(job, machine), i})
 		}
 	}
-	return best
+	slices.SortStableFunc(list, func(a, b candidate) int { return a.sortKey.compare(&b.sortKey) })
+	return list
 }
 
 // canPlace reports whether a task of the job can be bound to the machine now.
@@ -197,21 +181,30 @@
 	return job.Spec.Kind != api.KindService && job.expectedEnd(machine, p.Now) <= reserved.readyAt
 }
 
-// bindTask binds the next task of the job to the machine.
-func (p *placer) bindTask(job *Job, machine *Machine) {
+// bindTasks binds the next tasks of the job to the machine.
+func (p *placer) bindTasks(job *Job, machine *Machine, tasks int) {
 	if machine.ClaimedBy == job.ID {
 		machine.ClaimedBy = "" // the claim is used, so other jobs may have the remaining room
 	}
-	job.TasksPerZone[machine.Zone]++
-	job.PendingTasks--
+	job.TasksPerZone[machine.Zone] += tasks
+	job.PendingTasks -= tasks
 	if quota := p.Quotas[job.Spec.Team]; quota != nil {
-		quota.Used = quota.Used.AddScaled(job.Request, 1)
+		quota.Used = quota.Used.AddScaled(job.Request, int64(tasks))
 	}
-	end := job.expectedEnd(machine, p.Now)
-	machine.allocate(job, end)
+	p.plan.Bindings = append(p.plan.Bindings, Binding{job, machine, tasks})
 	if !machine.HasImage(job.Spec.Image) {
+		p.allocateNow(job, machine, 1)                                                   // fetches the image
 		machine.CachedImages = append(slices.Clip(machine.CachedImages), job.Spec.Image) // later tasks use the same copy
+		tasks--
 	}
+	if tasks > 0 {
+		p.allocateNow(job, machine, tasks)
+	}
+}
+
+// allocateNow adds tasks of the job to the machine that start now.
+func (p *placer) allocateNow(job *Job, machine *Machine, tasks int) {
+	end := job.expectedEnd(machine, p.Now)
+	machine.allocate(job, tasks, end)
 	p.extendExpectedEnd(job, end)
-	p.plan.Bindings = append(p.plan.Bindings, Binding{job, machine})
 }
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 
 	"spurmoor/internal/api"
@@ -37,8 +38,8 @@
 				UnavailableKinds: map[InstanceKind]bool{{Type: "g4", Zone: "alta"}: true},
 				Operators:        &operators,
 			})
-			if len(plan.Bindings) != len(tc.want) {
-				t.Fatalf("bound tasks: got %d, want %d", len(plan.Bindings), len(tc.want))
+			if len(plan.Bindings) != len(tc.want) || len(boundMachines(plan.Bindings)) != len(tc.want) {
+				t.Fatalf("bound tasks: got %v, want %d", boundMachines(plan.Bindings), len(tc.want))
 			}
 			for i, binding := range plan.Bindings {
 				if binding.Job.ID != tc.want[i] {
@@ -114,6 +115,17 @@
 	}
 }
 
+// boundMachines returns the name of the machine of each task that is bound.
+func boundMachines(bindings []Binding) []string {
+	var names []string
+	for _, binding := range bindings {
+		for range binding.Tasks {
+			names = append(names, binding.Machine.Name)
+		}
+	}
+	return names
+}
+
 // TestGangUsesFewestZonesAndMachines checks which machines the tasks of a gang are bound to.
 func TestGangUsesFewestZonesAndMachines(t *testing.T) {
 	t.Parallel()
@@ -162,13 +174,8 @@
 			if placed := newPlacer(state).placeGang(gang); placed != (tc.want != nil) {
 				t.Fatalf("placed: got %t, want %t", placed, tc.want != nil)
 			}
-			if len(state.plan.Bindings) != len(tc.want) {
-				t.Fatalf("bound tasks: got %d, want %d", len(state.plan.Bindings), len(tc.want))
-			}
-			for i, binding := range state.plan.Bindings {
-				if binding.Machine.Name != tc.want[i] {
-					t.Errorf("machine of task %d: got %s, want %s", i, binding.Machine.Name, tc.want[i])
-				}
+			if got := boundMachines(state.plan.Bindings); !slices.Equal(got, tc.want) {
+				t.Errorf("machines of the tasks: got %v, want %v", got, tc.want)
 			}
 		})
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,10 +24,11 @@
 	Objectives       map[string][]settings.Objective // by class
 }
 
-// Binding places one task of a job on a machine.
+// Binding places tasks of a job on a machine.
 type Binding struct {
 	Job     *Job
 	Machine *Machine
+	Tasks   int
 }
 
 // Preemption stops the tasks in Victims so that ForJob can run on their machine.
