A machine gets no more tasks than its worker's heartbeat can name

Seen: tasks of 0.01 CPUs were placed on one machine by the thousand. Its worker's heartbeat then exceeds 64 KiB, which PROTOCOL allows no request and our server refuses: the lease of the machine expires, and all on it ends. It also left the work for one machine in the event loop without a bound.

Cause: the planner counted cores, GPUs and memory, not the space in heartbeats.

Change: that space is a resource of machines and tasks, counted with the longest status of each task; exited tasks count until they are forgotten.

--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -56,6 +56,21 @@
 	CheckpointStored bool       `json:"Stored,omitempty"`
 }
 
+// longestStatus is the longest status that a task can have in a heartbeat, without the task's
+// name and with the comma that follows it.
+const longestStatus = `{"Tarea":"","Intento":1000000,"Estado":"ended","Causa":"mates_gone","Stored":true},`
+
+// MaxStatusBytes returns the size of the longest status of a task in a heartbeat, in bytes.
+func MaxStatusBytes(task string) int { return len(longestStatus) + len(task) }
+
+// heartbeatReserveBytes is the part of a heartbeat that is not for the statuses of tasks: its
+// other fields, and spaces that a worker may put between the parts.
+const heartbeatReserveBytes = 8 << 10
+
+// MaxStatusesBytes is how much space a heartbeat has for the statuses of tasks, in bytes. A
+// machine must not have more tasks: its worker could not send the heartbeat.
+const MaxStatusesBytes = MaxBodyBytes - heartbeatReserveBytes
+
 // Heartbeat is a worker's periodic report, with the status of its tasks.
 type Heartbeat struct {
 	Machine     string      `json:"Maquina"`
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -66,6 +66,7 @@
 	HeartbeatSequence uint64          // of the last heartbeat applied; counts within an incarnation
 	TokenConfirmed    bool            // the worker reported with the current fencing token
 	ReportedTasks     []api.TaskStatus
+	ExitedStatusBytes int           // space in heartbeats that exited tasks take at most
 	CachedImages      []cachedImage // least recently used first; also written by the task lifecycle
 	InterruptionAt    micros.Micros // approximate time of a spot instance's announced interruption; 0: none announced
 
@@ -162,6 +163,17 @@
 	}
 }
 
+// SetReportedTasks sets the tasks that the worker last reported.
+func (m *Machine) SetReportedTasks(tasks []api.TaskStatus) {
+	m.ReportedTasks = tasks
+	m.ExitedStatusBytes = 0
+	for _, task := range tasks {
+		if task.State == api.TaskExited {
+			m.ExitedStatusBytes += api.MaxStatusBytes(task.Task)
+		}
+	}
+}
+
 // AllTasksEnded reports whether every task in the worker's last report has exited.
 func (m *Machine) AllTasksEnded() bool {
 	return !slices.ContainsFunc(m.ReportedTasks, func(task api.TaskStatus) bool { return task.State != api.TaskExited })
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -86,7 +86,7 @@
 func (s *State) AddJob(id string, spec api.Job) *Job {
 	job := &Job{
 		ID:             id,
-		Request:        scheduler.NewResources(spec.CPUs, spec.GPUs, spec.MemoryGB),
+		Request:        scheduler.TaskRequest(&spec),
 		Partition:      s.Settings.TeamPartition[spec.Team],
 		Chunks:         map[int][]Task{},
 		TasksPerZone:   map[string]int{},
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -95,7 +95,7 @@
 	if _, ok := a.Settings.TeamPartition[spec.Team]; !ok {
 		return refusalUnknownTeam, false
 	}
-	task := scheduler.NewResources(spec.CPUs, spec.GPUs, spec.MemoryGB)
+	task := scheduler.TaskRequest(spec)
 	if !a.fitsSomeMachineType(spec, task) {
 		return refusalFitsNoMachine, false
 	}
@@ -108,7 +108,7 @@
 // fitsSomeMachineType reports whether one task fits an on-demand machine that the job allows.
 func (a *admissionControl) fitsSomeMachineType(spec *api.Job, task scheduler.Resources) bool {
 	return slices.ContainsFunc(a.catalog.MachineTypes, func(machineType api.MachineType) bool {
-		capacity := scheduler.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
+		capacity := scheduler.MachineCapacity(&machineType)
 		return capacity.Fits(task) && slices.ContainsFunc(machineType.Zones, func(zone string) bool {
 			return scheduler.ConstraintsAllow(spec, machineType.Name, zone, false)
 		})
--- a/internal/core/heartbeat_reconciliation.go
+++ b/internal/core/heartbeat_reconciliation.go
@@ -112,7 +112,7 @@
 func (r *heartbeatReconciliation) observeMachine() {
 	machine, heartbeat := r.machine, r.heartbeat
 	machine.LastSeenAt = r.Now
-	machine.ReportedTasks = heartbeat.Tasks
+	machine.SetReportedTasks(heartbeat.Tasks)
 	if machine.FirstHeartbeatAt == 0 {
 		r.observeBoot()
 	}
--- a/internal/planning/scheduler_view.go
+++ b/internal/planning/scheduler_view.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 
-	"spurmoor/internal/api"
 	"spurmoor/internal/cluster"
 	"spurmoor/internal/coordination"
 	"spurmoor/internal/micros"
@@ -72,23 +71,20 @@
 // schedulerMachine converts a machine without its allocations. The type of the machine
 // must be known.
 func (v *SchedulerView) schedulerMachine(machine *cluster.Machine) *scheduler.Machine {
-	total := capacity(machine.MachineType)
+	total := scheduler.MachineCapacity(machine.MachineType)
+	free := total.AddScaled(machine.Allocated, -1)
+	free.HeartbeatBytes -= int64(machine.ExitedStatusBytes) // the worker still reports them
 	return &scheduler.Machine{
 		Name:      machine.Name,
 		Type:      machine.MachineType,
 		Zone:      machine.Record.Zone,
 		Spot:      machine.Record.Spot,
 		Total:     total,
-		Free:      total.AddScaled(machine.Allocated, -1),
+		Free:      free,
 		ClaimedBy: machine.ClaimedBy,
 	}
 }
 
-// capacity returns the resources of an empty machine of a type.
-func capacity(machineType *api.MachineType) scheduler.Resources {
-	return scheduler.NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
-}
-
 // addAllocations adds the tasks on a machine to its converted form. jobs holds the jobs
 // that are already converted, by ID. A job that is missing there, such as one of another
 // partition, gets only the fields that preemption needs. A task of a cancelled job is
--- a/internal/planning/snapshot.go
+++ b/internal/planning/snapshot.go
@@ -255,7 +255,7 @@
 
 // pendingMachine returns a machine of a kind that was requested. It has no name yet.
 func (b *snapshotBuilder) pendingMachine(kind scheduler.InstanceKind, machineType *api.MachineType) *scheduler.Machine {
-	total := capacity(machineType)
+	total := scheduler.MachineCapacity(machineType)
 	return &scheduler.Machine{
 		Type:    machineType,
 		Zone:    kind.Zone,
--- a/internal/scheduler/launch.go
+++ b/internal/scheduler/launch.go
@@ -30,16 +30,11 @@
 	machineType *api.MachineType
 }
 
-// capacity returns the resources of an empty machine of the type.
-func capacity(machineType *api.MachineType) Resources {
-	return NewResources(machineType.CPUs, machineType.GPUs, machineType.MemoryGB)
-}
-
 // launchFor adds launches of the option for at most the given number of the job's tasks and
 // returns how many tasks the new machines hold.
 func (d *demandPlanner) launchFor(job *Job, tasks int, option *launchOption) int {
 	machineType := option.machineType
-	tasksPerMachine := capacity(machineType).FitCount(job.Request)
+	tasksPerMachine := MachineCapacity(machineType).FitCount(job.Request)
 	count := min(
 		(tasks+tasksPerMachine-1)/tasksPerMachine,
 		d.limit(maxLaunchedMachines)-d.launchCount,
@@ -72,7 +67,7 @@
 
 // newMachine returns an empty machine of the option that accepts tasks from readyAt on.
 func (o *launchOption) newMachine(readyAt micros.Micros) *Machine {
-	total := capacity(o.machineType)
+	total := MachineCapacity(o.machineType)
 	return &Machine{
 		Type: o.machineType, Zone: o.kind.Zone, Spot: o.kind.Spot,
 		Total: total, Free: total, ReadyAt: readyAt,
@@ -89,7 +84,7 @@
 	best, mostTasks := "", -1
 	for i := range d.MachineTypes {
 		machineType := &d.MachineTypes[i]
-		if !capacity(machineType).Fits(job.Request) {
+		if !MachineCapacity(machineType).Fits(job.Request) {
 			continue
 		}
 		for _, zone := range machineType.Zones {
@@ -136,7 +131,7 @@
 	leastCost, lowestPrice, bestPrice := math.Inf(1), math.Inf(1), 0.0
 	for i := range d.MachineTypes {
 		machineType := &d.MachineTypes[i]
-		tasksPerMachine := capacity(machineType).FitCount(job.Request)
+		tasksPerMachine := MachineCapacity(machineType).FitCount(job.Request)
 		if tasksPerMachine == 0 {
 			continue
 		}
--- a/internal/scheduler/resources_test.go
+++ b/internal/scheduler/resources_test.go
@@ -1,6 +1,47 @@
 package scheduler
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+
+	"spurmoor/internal/api"
+
+	"github.com/go-json-experiment/json"
+)
+
+// TestMachineHoldsWhatItsHeartbeatNames guards against machines with more tasks than a heartbeat
+// of 64 KiB can name. It fills machines with tasks that ask for nothing else, and checks the
+// heartbeats in which they have the longest statuses.
+func TestMachineHoldsWhatItsHeartbeatNames(t *testing.T) {
+	t.Parallel()
+	capacity := MachineCapacity(&api.MachineType{CPUs: 24, GPUs: 4, MemoryGB: 144})
+	for _, tc := range []struct {
+		id       string
+		minTasks int
+	}{
+		{"wk-000412", 550},
+		{"wk-000000000000000412", 500},
+	} {
+		t.Run(tc.id, func(t *testing.T) {
+			t.Parallel()
+			tasks := capacity.FitCount(TaskRequest(&api.Job{ID: tc.id, Tasks: 100_000}))
+			if tasks < tc.minTasks {
+				t.Errorf("tasks on a machine: got %d, want at least %d", tasks, tc.minTasks)
+			}
+			heartbeat := api.Heartbeat{Machine: "n-000231", Address: "10.1.0.232:9000", Type: "ceiba", Zone: "volcan"}
+			for i := range tasks {
+				heartbeat.Tasks = append(heartbeat.Tasks, api.TaskStatus{
+					Task: fmt.Sprintf("%s/%d", tc.id, 99_999-i), Attempt: 1000, State: api.TaskExited,
+					ExitReason: api.ExitGangEnded, CheckpointStored: true,
+				})
+			}
+			body, err := json.Marshal(&heartbeat)
+			if err != nil || len(body) > api.MaxBodyBytes {
+				t.Errorf("heartbeat with %d tasks: got %d bytes, error %v, want at most %d bytes", tasks, len(body), err, api.MaxBodyBytes)
+			}
+		})
+	}
+}
 
 func TestResourcesFitCount(t *testing.T) {
 	t.Parallel()
--- a/internal/simulation/heartbeat.go
+++ b/internal/simulation/heartbeat.go
@@ -41,6 +41,7 @@
 			ExitReason: task.exitReason, CheckpointStored: task.checkpointStored,
 		})
 	}
+	w.sim.checker.checkHeartbeatSize(heartbeat)
 	return heartbeat
 }
 
--- a/internal/simulation/invariants.go
+++ b/internal/simulation/invariants.go
@@ -31,6 +31,7 @@
 	invariantLostJob        invariant = "forgotten"      // an accepted job stays known, and queries about it are answered
 	invariantStaleAnswer    invariant = "went_back"      // no answer reports an older state than an earlier one
 	invariantOrphaned       invariant = "orphaned"       // dependants of a cancelled job are reported as cancelled in time
+	invariantHeartbeatSize  invariant = "report_size"    // a worker's heartbeat fits into a request
 	invariantNewestRefused  invariant = "newest_refused" // a worker's newest heartbeat is not refused as outdated
 	invariantInvalidRequest invariant = "bad_input"      // invalid requests are refused with the right status
 )
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -102,6 +102,7 @@
 	Tasks       int          `toml:"tasks"`
 	CPUs        float64      `toml:"cpus"`
 	GPUs        float64      `toml:"gpus"`
+	MemoryGB    float64      `toml:"memory_gb"`
 	RunS        float64      `toml:"run_s"`
 	StepS       float64      `toml:"step_s"` // by which each task runs longer than the one before it
 	EstimateS   float64      `toml:"estimate_s"`
--- a/internal/simulation/scenario_jobs.go
+++ b/internal/simulation/scenario_jobs.go
@@ -10,9 +10,9 @@
 
 const (
 	defaultTeam = "norte"
-	// jobMemoryGB is the memory of every task. checkpointSaveS is the time that a task needs
+	// defaultMemoryGB is the memory of a task. checkpointSaveS is the time that a task needs
 	// to save a checkpoint.
-	jobMemoryGB     = 1
+	defaultMemoryGB = 1
 	checkpointSaveS = 2
 )
 
@@ -21,7 +21,7 @@
 	spec := api.Job{
 		ID: jobID(number), Team: cmp.Or(j.Team, defaultTeam),
 		Kind: cmp.Or(j.Kind, api.KindArray), Priority: cmp.Or(j.Priority, api.PriorityStandard), Tasks: max(1, j.Tasks),
-		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: jobMemoryGB,
+		CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: cmp.Or(j.MemoryGB, defaultMemoryGB),
 		Image: "img-" + string(j.Kind), ImageGB: j.ImageGB,
 		Zone: j.Zone, OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot,
 		EstimateS: j.EstimateS, CheckpointIntervalS: j.CheckpointS, DeadlineS: j.DeadlineS,
@@ -43,6 +43,20 @@
 	return spec
 }
 
+// specOf returns the job with an ID in the form in which its user submitted it, but for the
+// numbers of the job and its dependencies.
+func (s *Simulation) specOf(id string) api.Job {
+	if spec, ok := s.specs[id]; ok {
+		return spec
+	}
+	job, submitted := s.jobs[id]
+	spec := job.spec(0)
+	if submitted {
+		s.specs[id] = spec
+	}
+	return spec
+}
+
 // dependencyIDs returns the IDs of the dependencies of the job with the given number.
 func (j Job) dependencyIDs(number int) []string {
 	var ids []string
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -54,6 +54,7 @@
 	checker       *invariantChecker
 
 	jobs           map[string]Job           // by ID, once submitted
+	specs          map[string]api.Job       // of these jobs, without their IDs; filled when needed
 	checkpoints    map[string]micros.Micros // saved progress, by checkpoint key
 	completedTasks map[string]bool
 	orders         []receivedOrder            // in the order of their arrival at a simulated service or worker
@@ -89,6 +90,7 @@
 		workersByAddr:  map[string]*worker{},
 		usersByID:      map[string]*user{},
 		jobs:           map[string]Job{},
+		specs:          map[string]api.Job{},
 		checkpoints:    map[string]micros.Micros{},
 		completedTasks: map[string]bool{},
 		highestTerms:   map[string]leadership.Term{},
