Tasks are counted by chunk, so that loops skip what does not concern them

Cause: with a job of 100,000 tasks every commit looked at all of its tasks for uncommitted ones, every plan listed all pending ones to count them, each report of a gang's task looked at all others to see whether the gang is complete, each deleted machine at all tasks of all jobs, and each machine that is read at a start at all tasks read before it.

Change: a chunk of tasks counts those that are placed, done and uncommitted; a job counts its tasks that wait for their gang; a pending task that must wait is in a list of its own; tasks that are read before their machine are kept by its name. All writes of what a worker reported of a task go through methods of its job, which keep the count.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -28,6 +28,7 @@
 		Partitions:  []*Partition{{RoleState: &leadership.RoleState{}, ChangedJobs: map[string]bool{}}},
 		Jobs:        map[string]*Job{}, TeamUsage: map[string]*scheduler.Resources{},
 		Machines: map[string]*Machine{}, tombstones: map[string]RecordOrigin{}, logReferences: map[string]int{},
+		tasksOfUnread: map[string][]TaskID{},
 	}
 }
 
--- a/internal/cluster/commit_outcome.go
+++ b/internal/cluster/commit_outcome.go
@@ -74,9 +74,8 @@
 	job := change.job
 	task := job.EnsureTask(change.index)
 	task.Committed, task.LogSequence = change.record, change.sequence
-	if task.uncommitted && task.generation == change.generation {
-		task.uncommitted = false
-		job.UncommittedTasks--
+	if task.generation == change.generation {
+		job.setUncommitted(change.index, false)
 	}
 	if task.State == records.TaskPlaced && !task.uncommitted && !task.Observed && task.DirectStartToken == 0 {
 		l.cluster.requestCommand(task.Machine) // starts the task without waiting for a heartbeat
--- a/internal/cluster/entry_builder.go
+++ b/internal/cluster/entry_builder.go
@@ -268,10 +268,7 @@
 // of the start and a concurrent cancellation only one succeeds.
 func (b *entryBuilder) addChangesOf(job *Job) bool {
 	compared := false
-	for index, task := range job.allocatedTasks() {
-		if !task.uncommitted {
-			continue
-		}
+	for index, task := range job.uncommittedTasks() {
 		if task.State == records.TaskPlaced && !compared {
 			if len(b.commit.Request.Compares) >= b.maxCompares {
 				continue
--- a/internal/cluster/job.go
+++ b/internal/cluster/job.go
@@ -3,14 +3,10 @@
 import (
 	"spurmoor/internal/api"
 	"spurmoor/internal/micros"
+	"spurmoor/internal/records"
 	"spurmoor/internal/scheduler"
 )
 
-// TasksPerChunk is the number of tasks in a chunk, the unit in which tasks of a job are
-// allocated. A chunk is allocated when one of its tasks first changes. Until then a job that
-// waits, as most arrays do for a long time, takes no memory for its tasks.
-const TasksPerChunk = 128
-
 // Job is an unfinished job.
 type Job struct {
 	// The submission and its record in the store. Written by core when it applies the record.
@@ -32,11 +28,12 @@
 	StopRequiredSince micros.Micros
 
 	// Tasks and their counts. Written by State, UncommittedTasks also by the partition log.
-	Chunks           map[int][]Task // by index / TasksPerChunk
+	chunks           []*taskChunk // nil until one is allocated
 	PlacedTasks      int
 	DoneTasks        int
-	UncommittedTasks int            // tasks with uncommitted changes
-	TasksPerZone     map[string]int // placed tasks by zone
+	UncommittedTasks int                   // tasks with uncommitted changes
+	TasksPerZone     map[string]int        // placed tasks by zone
+	delayedTasks     map[int]micros.Micros // by index: pending tasks that are not placed before a time; nil: none
 
 	// The end of the job. Written by the partition log.
 	endedAt  micros.Micros // when its terminal state was first due; 0: not due
@@ -63,89 +60,82 @@
 	// needsNewAttempt by the task lifecycle and State.
 	StartUncommitted bool // its start is not committed yet
 	needsNewAttempt  bool // a task of this attempt has exited: the number must not be used again
+	awaitingTasks    int  // placed tasks that await the rest of the gang, see Task.awaitsGang
 
 	// Reservations. Written by planning.
 	ReservedSince       micros.Micros // since when machines are reserved for it; 0: none are
 	NoReservationBefore micros.Micros // set after a reservation in which it did not start in time
 }
 
-// ChunkIndexes returns the indexes of the allocated chunks of tasks, in order.
-func (j *Job) ChunkIndexes() []int {
-	var list []int
-	for chunk := 0; chunk*TasksPerChunk < j.Spec.Tasks; chunk++ {
-		if j.Chunks[chunk] != nil {
-			list = append(list, chunk)
-		}
-	}
-	return list
+// IsTaskCommitted reports whether a task has no uncommitted change.
+func (j *Job) IsTaskCommitted(index int) bool {
+	task := j.Task(index)
+	return task == nil || !task.uncommitted
 }
 
-// allocatedTasks returns an iterator over the tasks of the allocated chunks, in order, with their
-// indexes. Its type is that of an iter.Seq2. It is written out because the state machine may
-// import only a few packages of the standard library, and iter is not among them.
-func (j *Job) allocatedTasks() func(yield func(int, *Task) bool) {
-	return func(yield func(int, *Task) bool) {
-		for _, chunk := range j.ChunkIndexes() {
-			tasks := j.Chunks[chunk]
-			for i := range tasks {
-				if !yield(chunk*TasksPerChunk+i, &tasks[i]) {
-					return
-				}
-			}
-		}
+// delayTask keeps a pending task from being placed before a time.
+func (j *Job) delayTask(index int, until micros.Micros) {
+	if j.delayedTasks == nil {
+		j.delayedTasks = map[int]micros.Micros{}
 	}
+	j.delayedTasks[index] = until
 }
 
-// EnsureTask returns a task. It allocates the task's chunk if necessary; all tasks of a new
-// chunk are pending.
-func (j *Job) EnsureTask(index int) *Task {
-	chunk := index / TasksPerChunk
-	if j.Chunks[chunk] == nil {
-		j.Chunks[chunk] = make([]Task, min(TasksPerChunk, j.Spec.Tasks-chunk*TasksPerChunk))
+// countDelayed returns the number of pending tasks that may not be placed yet.
+func (j *Job) countDelayed(now micros.Micros) int {
+	count := 0
+	for index, until := range j.delayedTasks {
+		if now >= until {
+			delete(j.delayedTasks, index)
+			continue
+		}
+		if task := j.Task(index); task == nil || task.State == records.TaskPending {
+			count++
+		}
 	}
-	return &j.Chunks[chunk][index%TasksPerChunk]
+	return count
 }
 
-// Task returns a task, or nil if its chunk is not allocated or index is past the last task. A
-// task without a chunk is pending.
-func (j *Job) Task(index int) *Task {
-	if index >= j.Spec.Tasks {
-		return nil
+// PlaceableTaskCount returns the number of tasks that PlaceableTasks returns.
+func (j *Job) PlaceableTaskCount(now micros.Micros, limit int) int {
+	count := j.Spec.Tasks - j.PlacedTasks - j.DoneTasks - j.countDelayed(now)
+	if j.Spec.Kind != api.KindGang {
+		return min(count, limit)
 	}
-	if tasks := j.Chunks[index/TasksPerChunk]; tasks != nil {
-		return &tasks[index%TasksPerChunk]
+	if !j.mayPlaceGangTasks(count) {
+		return 0
 	}
-	return nil
+	return count
 }
 
-// IsTaskCommitted reports whether a task has no uncommitted change.
-func (j *Job) IsTaskCommitted(index int) bool {
-	task := j.Task(index)
-	return task == nil || !task.uncommitted
+// mayPlaceGangTasks reports whether that many pending tasks of a gang may be placed. All tasks of
+// a gang are placed together, with two exceptions. A gang that is reassembling gets only its
+// missing tasks. If one task of a gang is done, all of them are done, and a pending one is run
+// again only because its machine was lost before it could report that.
+func (j *Job) mayPlaceGangTasks(pending int) bool {
+	return pending+j.DoneTasks == j.Spec.Tasks || j.IsReassembling()
 }
 
 // PlaceableTasks returns the indexes of the tasks that may be placed now. It returns at most
 // limit of them, or all of a gang.
 func (j *Job) PlaceableTasks(now micros.Micros, limit int) []int {
-	var list []int
-	for chunk := 0; chunk*TasksPerChunk < j.Spec.Tasks; chunk++ {
-		tasks := j.Chunks[chunk]
-		end := min(j.Spec.Tasks, (chunk+1)*TasksPerChunk)
-		for index := chunk * TasksPerChunk; index < end; index++ {
-			if len(list) >= limit && j.Spec.Kind != api.KindGang {
+	list := make([]int, 0, j.PlaceableTaskCount(now, limit))
+	for number := range j.chunkCount() {
+		chunk := j.chunkAt(number)
+		if chunk != nil && !chunk.hasPending() {
+			continue
+		}
+		end := min(j.Spec.Tasks, (number+1)*tasksPerChunk)
+		for index := number * tasksPerChunk; index < end; index++ {
+			if len(list) == cap(list) {
 				return list
 			}
-			if tasks == nil || tasks[index%TasksPerChunk].mayBePlaced(now) {
+			isPending := chunk == nil || chunk.tasks[index%tasksPerChunk].State == records.TaskPending
+			if isPending && now >= j.delayedTasks[index] {
 				list = append(list, index)
 			}
 		}
 	}
-	// All tasks of a gang are placed together, with two exceptions. A gang that is reassembling
-	// gets only its missing tasks. If one task of a gang is done, all of them are done, and a
-	// pending one is run again only because its machine was lost before it could report that.
-	if j.Spec.Kind == api.KindGang && len(list)+j.DoneTasks < j.Spec.Tasks && !j.IsReassembling() {
-		return nil
-	}
 	return list
 }
 
--- a/internal/cluster/job_test.go
+++ b/internal/cluster/job_test.go
@@ -24,8 +24,8 @@
 			state.SetTask(job, 2, TaskRecord{State: records.TaskDone})
 		}, []int{1, 3}},
 		{"array with a task that must wait", api.KindArray, func(_ *State, job *Job) {
-			job.EnsureTask(0).notBefore = now + 1
-			job.EnsureTask(1).notBefore = now
+			job.delayTask(0, now+1)
+			job.delayTask(1, now)
 		}, []int{1, 2, 3}},
 		{"new gang, whose size is above the limit", api.KindGang, func(*State, *Job) {}, []int{0, 1, 2, 3}},
 		{"gang with a placed task", api.KindGang, func(state *State, job *Job) {
@@ -33,7 +33,7 @@
 		}, nil},
 		{"gang that is reassembling", api.KindGang, func(state *State, job *Job) {
 			state.SetTask(job, 0, TaskRecord{State: records.TaskPlaced})
-			job.Task(0).Observed, job.Task(0).ReportedState = true, api.TaskWaiting
+			job.ObserveTask(job.Task(0), api.TaskWaiting)
 		}, []int{1, 2, 3}},
 		{"gang of which a task is done", api.KindGang, func(state *State, job *Job) {
 			state.SetTask(job, 0, TaskRecord{State: records.TaskDone})
@@ -48,6 +48,9 @@
 			if got := job.PlaceableTasks(now, 3); !slices.Equal(got, tc.want) {
 				t.Errorf("got placeable tasks %v, want %v", got, tc.want)
 			}
+			if got := job.PlaceableTaskCount(now, 3); got != len(tc.want) {
+				t.Errorf("got a count of %d placeable tasks, want %d", got, len(tc.want))
+			}
 		})
 	}
 }
@@ -55,12 +58,12 @@
 // TestAllocatedTasks checks that the iterator yields the tasks of allocated chunks only, in order.
 func TestAllocatedTasks(t *testing.T) {
 	t.Parallel()
-	const tasks = 3*TasksPerChunk + 1
+	const tasks = 3*tasksPerChunk + 1
 	job := addTestJob(t, newState(t, newEnvironment(t)), "wk-000001", tasks)
 	job.EnsureTask(tasks - 1).Attempt = 7
-	job.EnsureTask(TasksPerChunk).Attempt = 5
-	if chunks := job.ChunkIndexes(); !slices.Equal(chunks, []int{1, 3}) {
-		t.Fatalf("got chunks %v, want [1 3]", chunks)
+	job.EnsureTask(tasksPerChunk).Attempt = 5
+	if job.chunkAt(0) != nil || job.chunkAt(1) == nil || job.chunkAt(2) != nil || job.chunkAt(3) == nil {
+		t.Fatalf("got chunks %v, want only the second and the last", job.chunks)
 	}
 	var indexes []int
 	for index, task := range job.allocatedTasks() {
@@ -69,8 +72,8 @@
 			t.Errorf("index %d: got task %p, want that of job.Task, %p", index, task, job.Task(index))
 		}
 	}
-	if len(indexes) != TasksPerChunk+1 || indexes[0] != TasksPerChunk || indexes[TasksPerChunk] != tasks-1 || !slices.IsSorted(indexes) {
-		t.Errorf("got indexes %v, want %d to %d and %d, in order", indexes, TasksPerChunk, 2*TasksPerChunk-1, tasks-1)
+	if len(indexes) != tasksPerChunk+1 || indexes[0] != tasksPerChunk || indexes[tasksPerChunk] != tasks-1 || !slices.IsSorted(indexes) {
+		t.Errorf("got indexes %v, want %d to %d and %d, in order", indexes, tasksPerChunk, 2*tasksPerChunk-1, tasks-1)
 	}
 	if job.LastAttempt() != 7 || job.Task(0) != nil || job.Task(tasks) != nil {
 		t.Errorf("got last attempt %d, task 0 %v and past the end %v, want 7, nil and nil", job.LastAttempt(), job.Task(0), job.Task(tasks))
--- a/internal/cluster/machine.go
+++ b/internal/cluster/machine.go
@@ -145,6 +145,12 @@
 	return slices.Clone(m.TaskIDs)
 }
 
+// hasTask reports whether a task is placed on the machine.
+func (m *Machine) hasTask(id TaskID) bool {
+	_, found := slices.BinarySearchFunc(m.TaskIDs, id, TaskID.compare)
+	return found
+}
+
 // CacheImage records that an image was used on the machine. It evicts the least recently
 // used images that do not fit into the machine's cache.
 func (m *Machine) CacheImage(name string, sizeGB float64) {
--- a/internal/cluster/machine_registry.go
+++ b/internal/cluster/machine_registry.go
@@ -104,12 +104,13 @@
 // applyDeletion removes a machine whose record was deleted. The record is deleted only after
 // all tasks on the machine are proven gone.
 func (r *MachineRegistry) applyDeletion(machine *Machine) {
-	for _, id := range machine.TaskIDsCopy() {
+	ids := machine.TaskIDsCopy()
+	for _, id := range ids {
 		r.cluster.updateMachineCounts(r.cluster.Jobs[id.Job], id.Index, machine, -1)
 	}
 	r.cluster.removeMachine(machine)
 	r.deletions.Record(machine.Name)
-	r.tasks.ReleaseWithoutMachine()
+	r.tasks.releaseTasks(ids, reasonRecordGone)
 }
 
 // ScaleIn requests that a machine is marked for deletion. Once that is committed, no leader
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
@@ -27,6 +26,10 @@
 
 	Machines       map[string]*Machine
 	MachinesByName []*Machine // sorted by name
+	// tasksOfUnread holds the placed tasks whose machine has no record yet, by machine name. While
+	// the cache is being filled, tasks may be read before their machine's record. Once it is synced,
+	// a start is always committed after that record.
+	tasksOfUnread map[string][]TaskID
 	// tombstones holds the origin of the record that marks a machine as deleted, by machine
 	// name. A tombstone is kept while some log entry still names the machine. logReferences
 	// counts these entries in all logs, by machine name.
@@ -42,6 +45,7 @@
 		Environment: env, cache: cache,
 		Jobs: map[string]*Job{}, TeamUsage: map[string]*scheduler.Resources{},
 		Machines: map[string]*Machine{}, tombstones: map[string]RecordOrigin{}, logReferences: map[string]int{},
+		tasksOfUnread: map[string][]TaskID{},
 	}
 	for i := range env.Settings.Operators.Parts {
 		partition := &Partition{RoleState: roles.PartitionRole(i), Index: i, ChangedJobs: map[string]bool{}}
@@ -59,6 +63,7 @@
 	clear(s.Jobs)
 	clear(s.tombstones)
 	clear(s.logReferences)
+	clear(s.tasksOfUnread)
 	s.MachinesByName = nil
 	for _, usage := range s.TeamUsage {
 		*usage = scheduler.Resources{}
@@ -88,7 +93,6 @@
 		ID:             id,
 		Request:        scheduler.TaskRequest(&spec),
 		Partition:      s.Settings.TeamPartition[spec.Team],
-		Chunks:         map[int][]Task{},
 		TasksPerZone:   map[string]int{},
 		FailedMachines: map[string]bool{},
 	}
@@ -121,12 +125,8 @@
 	s.MachinesByName = slices.Insert(s.MachinesByName, at, machine)
 	// Another leader may have renewed the worker's lease until now.
 	machine.LeaseExpiresAt = s.Now + s.Settings.FormerLeaderLeaseBound()
-	// While the cache is being filled, tasks may be read before their machine's record. Once
-	// it is synced, a start is always committed after that record.
 	if !s.cache.Synced {
-		for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
-			s.addPlacedTasks(s.Jobs[id], machine)
-		}
+		s.addTasksReadBefore(machine)
 	}
 	return machine
 }
@@ -155,8 +155,8 @@
 	// this controller has not seen. If they still counted as observed, a report of that
 	// incarnation would seem to prove them gone while they run.
 	for _, id := range machine.TaskIDs {
-		task := s.Jobs[id.Job].Task(id.Index)
-		task.Observed, task.ReportedState = false, ""
+		job := s.Jobs[id.Job]
+		job.forgetObservation(job.Task(id.Index))
 	}
 	machine.DeleteSent, machine.DeleteConfirmed = false, false
 	machine.lastCommands, machine.IgnoringCommandsSince = nil, 0
--- a/internal/cluster/task.go
+++ b/internal/cluster/task.go
@@ -47,18 +47,12 @@
 	PlacedAt        micros.Micros
 	StopRequestedAt micros.Micros // 0: no stop is requested
 	// GraceS is how many seconds the task has to save a checkpoint after a requested stop.
-	GraceS    float64
-	notBefore micros.Micros // the task is not placed before this time
+	GraceS float64
 	// DirectStartToken is the fencing token of a direct start that may still be in flight; 0
 	// means none.
 	DirectStartToken api.FencingToken
 }
 
-// mayBePlaced reports whether a task is pending and its notBefore has passed.
-func (t *Task) mayBePlaced(now micros.Micros) bool {
-	return t.State == records.TaskPending && now >= t.notBefore
-}
-
 // TaskID identifies a task by its job's id and its index in the job.
 type TaskID struct {
 	Job   string
--- a/internal/cluster/task_accounting.go
+++ b/internal/cluster/task_accounting.go
@@ -24,20 +24,15 @@
 	}
 	s.SetTask(job, index, record)
 	task.generation++
-	if !task.uncommitted {
-		task.uncommitted = true
-		job.UncommittedTasks++
-	}
+	job.setUncommitted(index, true)
 	s.MarkChanged(job)
 }
 
 // RevertUncommitted resets all tasks of a job to their committed state.
 func (s *State) RevertUncommitted(job *Job) {
 	job.StartUncommitted = false
-	for index, task := range job.allocatedTasks() {
-		if task.uncommitted {
-			s.SetTask(job, index, task.Committed)
-		}
+	for index, task := range job.uncommittedTasks() {
+		s.SetTask(job, index, task.Committed)
 	}
 }
 
@@ -45,18 +40,15 @@
 // the observations of the task and its uncommitted change.
 func (s *State) SetTask(job *Job, index int, record TaskRecord) {
 	task := job.EnsureTask(index)
-	if task.uncommitted {
-		task.uncommitted = false
-		job.UncommittedTasks--
-	}
+	job.setUncommitted(index, false)
 	s.updateCounts(job, index, task, -1)
+	job.forgetObservation(task)
 	*task = Task{
 		TaskRecord:  record,
 		Committed:   task.Committed,
 		LogSequence: task.LogSequence,
 		generation:  task.generation,
 		PlacedAt:    s.Now,
-		notBefore:   task.notBefore,
 	}
 	s.updateCounts(job, index, task, 1)
 	if job.PlacedTasks == 0 {
@@ -67,6 +59,7 @@
 // updateCounts adds a task in its current state to all counts (delta 1) or removes it from
 // them (delta -1).
 func (s *State) updateCounts(job *Job, index int, task *Task, delta int) {
+	job.ensureChunk(index).count(task.State, delta)
 	switch task.State {
 	case records.TaskPending:
 	case records.TaskDone:
@@ -76,8 +69,12 @@
 		if usage := s.TeamUsage[job.Spec.Team]; usage != nil {
 			*usage = usage.AddScaled(job.Request, int64(delta))
 		}
-		if machine := s.Machines[task.Machine]; machine != nil {
+		machine := s.Machines[task.Machine]
+		switch {
+		case machine != nil:
 			s.updateMachineCounts(job, index, machine, delta)
+		case delta > 0 && !s.cache.Synced:
+			s.tasksOfUnread[task.Machine] = append(s.tasksOfUnread[task.Machine], TaskID{Job: job.ID, Index: index})
 		}
 	}
 }
@@ -100,14 +97,26 @@
 	}
 }
 
-// addPlacedTasks adds the placed tasks of a job to a machine whose record was read after the
-// tasks were.
-func (s *State) addPlacedTasks(job *Job, machine *Machine) {
-	for index, task := range job.allocatedTasks() {
-		if task.State == records.TaskPlaced && task.Machine == machine.Name {
-			s.updateMachineCounts(job, index, machine, 1)
+// addTasksReadBefore adds the tasks to a machine that were read before its record was.
+func (s *State) addTasksReadBefore(machine *Machine) {
+	for _, id := range s.tasksOfUnread[machine.Name] {
+		job := s.Jobs[id.Job]
+		if job == nil || machine.hasTask(id) {
+			continue // it has ended, or is in the list twice
+		}
+		if task := job.Task(id.Index); task.State == records.TaskPlaced && task.Machine == machine.Name {
+			s.updateMachineCounts(job, id.Index, machine, 1)
 		}
 	}
+	delete(s.tasksOfUnread, machine.Name)
+}
+
+// ClearTasks makes all tasks of a job that has ended pending, which removes them from their
+// machines and from all counts.
+func (s *State) ClearTasks(job *Job) {
+	for index := range job.allocatedTasks() {
+		s.SetTask(job, index, TaskRecord{})
+	}
 }
 
 // RequestJobStop handles that a job's tasks must not run any more. It sets StopRequiredSince, if
@@ -119,7 +128,7 @@
 	if job.PlacedTasks == 0 || !s.Partitions[job.Partition].Leads() {
 		return
 	}
-	for _, task := range job.allocatedTasks() {
+	for _, task := range job.placedTasks() {
 		s.requestCommand(task.Machine)
 	}
 }
--- a/internal/cluster/task_lifecycle.go
+++ b/internal/cluster/task_lifecycle.go
@@ -82,7 +82,7 @@
 	case api.ExitFailed:
 		l.RecordFailure(job, machine, report.Task)
 	case api.ExitNoRoom, api.ExitBusy, api.ExitUnknownTask:
-		job.Task(index).notBefore = l.Now + refusedStartDelay
+		job.delayTask(index, l.Now+refusedStartDelay)
 		l.LogInfo(
 			"task start refused", logkey.Task, report.Task, logkey.Machine, machine.Name,
 			logkey.Reason, report.ExitReason,
@@ -110,15 +110,16 @@
 	if task.StopRequestedAt > 0 {
 		return
 	}
-	task.StopRequestedAt = l.Now
+	graceS := 0.0
 	if job.Spec.CheckpointIntervalS > 0 {
-		task.GraceS = job.Spec.CheckpointSaveS + 1
+		graceS = job.Spec.CheckpointSaveS + 1
 	}
+	job.requestStop(task, l.Now, graceS)
 	l.LogInfo(
 		"task stop requested", logkey.Job, job.ID, logkey.Machine, task.Machine, logkey.Reason, reason,
 	)
 	if job.Spec.Kind == api.KindGang {
-		l.requestGangStop(job, task.GraceS)
+		l.requestGangStop(job, graceS)
 	}
 	l.cluster.requestCommand(task.Machine)
 }
@@ -126,25 +127,26 @@
 // requestGangStop requests that all placed tasks of a gang stop together, with the same grace
 // period.
 func (l *TaskLifecycle) requestGangStop(job *Job, graceS float64) {
-	for _, task := range job.allocatedTasks() {
-		if task.State == records.TaskPlaced {
-			task.StopRequestedAt, task.GraceS = l.Now, graceS
-			l.cluster.requestCommand(task.Machine)
-		}
+	for _, task := range job.placedTasks() {
+		job.requestStop(task, l.Now, graceS)
+		l.cluster.requestCommand(task.Machine)
 	}
 }
 
-// ReleaseWithoutMachine releases all tasks whose machine has no record. A record is deleted
-// only after all tasks on the machine are proven gone.
-func (l *TaskLifecycle) ReleaseWithoutMachine() {
+// reasonRecordGone is the reason why tasks are released whose machine has no record. A record is
+// deleted only after all tasks on the machine are proven gone.
+const reasonRecordGone = "its machine's record is gone"
+
+// ReleaseWithoutMachine releases all tasks of a partition whose machine has no record.
+func (l *TaskLifecycle) ReleaseWithoutMachine(partition *Partition) {
 	for _, id := range slices.Sorted(maps.Keys(l.cluster.Jobs)) {
 		job := l.cluster.Jobs[id]
-		if !l.cluster.Partitions[job.Partition].Leads() || job.PlacedTasks == 0 {
+		if job.Partition != partition.Index || job.PlacedTasks == 0 {
 			continue
 		}
-		for index, task := range job.allocatedTasks() {
-			if task.State == records.TaskPlaced && l.cluster.Machines[task.Machine] == nil {
-				l.Release(job, index, "its machine's record is gone")
+		for index, task := range job.placedTasks() {
+			if l.cluster.Machines[task.Machine] == nil {
+				l.Release(job, index, reasonRecordGone)
 			}
 		}
 	}
@@ -153,7 +155,13 @@
 // ReleaseAll releases all tasks on a machine that are in partitions which this controller
 // leads.
 func (l *TaskLifecycle) ReleaseAll(machine *Machine, reason string) {
-	for _, id := range machine.TaskIDsCopy() {
+	l.releaseTasks(machine.TaskIDsCopy(), reason)
+}
+
+// releaseTasks releases those of the given tasks that are in partitions which this controller
+// leads.
+func (l *TaskLifecycle) releaseTasks(ids []TaskID, reason string) {
+	for _, id := range ids {
 		job := l.cluster.Jobs[id.Job]
 		if job != nil && l.cluster.Partitions[job.Partition].Leads() {
 			l.Release(job, id.Index, reason)
--- a/internal/core/failover.go
+++ b/internal/core/failover.go
@@ -51,7 +51,7 @@
 			partition.ChangedJobs[id] = true
 		}
 	}
-	f.tasks.ReleaseWithoutMachine()
+	f.tasks.ReleaseWithoutMachine(partition)
 	f.provisioning.AdoptOpenRequests(partition)
 	f.trigger.RequestWithin(failoverPlanDelay)
 }
--- a/internal/core/heartbeat_reconciliation.go
+++ b/internal/core/heartbeat_reconciliation.go
@@ -218,7 +218,6 @@
 	job *cluster.Job, id cluster.TaskID, task *cluster.Task, reported api.TaskStatus,
 ) {
 	r.observed[id] = true
-	task.Observed = true
 	if reported.State == api.TaskExited {
 		r.tasks.HandleExit(job, id.Index, task, r.machine, reported)
 		return
@@ -249,7 +248,7 @@
 			logkey.Machine, r.machine.Name,
 			logkey.AfterS, (r.Now - task.PlacedAt).WholeSeconds())
 	}
-	task.ReportedState = reported.State
+	job.ObserveTask(task, reported.State)
 }
 
 // reconcileAbsent reconciles a task that is recorded on this machine but missing from its
--- a/internal/core/record_applier.go
+++ b/internal/core/record_applier.go
@@ -282,7 +282,7 @@
 		return
 	}
 	record, isKnown := a.dependencies.TerminalOutcome(job)
-	a.clearTasks(job)
+	a.cluster.ClearTasks(job)
 	a.cluster.RemoveJob(job)
 	a.dependencies.Unlink(job)
 	if isKnown {
@@ -291,12 +291,3 @@
 	}
 	a.dependencies.SetOutcome(job.ID, cluster.OutcomeUnknown, 0)
 }
-
-// clearTasks removes a job's tasks from their machines and from all counts.
-func (a *recordApplier) clearTasks(job *cluster.Job) {
-	for _, chunk := range job.ChunkIndexes() {
-		for offset := range job.Chunks[chunk] {
-			a.cluster.SetTask(job, chunk*cluster.TasksPerChunk+offset, cluster.TaskRecord{})
-		}
-	}
-}
--- a/internal/planning/snapshot.go
+++ b/internal/planning/snapshot.go
@@ -89,7 +89,7 @@
 		}
 		schedulerJob := b.view.schedulerJob(job)
 		if b.Now >= job.NotBefore && !isRestarting(job) {
-			schedulerJob.PendingTasks = len(job.PlaceableTasks(b.Now, b.tasks.PlaceableLimit(job)))
+			schedulerJob.PendingTasks = job.PlaceableTaskCount(b.Now, b.tasks.PlaceableLimit(job))
 		}
 		b.jobs[id] = job
 		b.schedulerJobs[id] = schedulerJob
