--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -10,6 +10,7 @@
 	cases["preempt"] = casePreempt
 	cases["reclaim"] = caseReclaim
 	cases["sick"] = caseSick
+	cases["quarantine"] = caseQuarantine
 	cases["halfgang"] = caseHalfGang
 	cases["shared"] = caseShared
 	cases["fetch"] = caseFetch
@@ -212,6 +213,34 @@
 	return w.mustBegin(waiting, "the ceiba has 14 of 24 CPUs, 2 of 4 GPUs and 90 of 144 GB free, and the limit is 24 GPUs")
 }
 
+// caseQuarantine: two jobs meet a machine that fails the tasks that it starts for five seconds. A
+// third one, submitted when the machine is well again, waits beside room on it.
+func caseQuarantine(w *world, trouble bool) int {
+	w.cloud.capacity = map[string]int{kindOf("ceiba", "volcan", false): 1}
+	resident := bound(arrayJob("wk-000001", "lecturas", 2, 400), "ceiba")
+	if !w.acceptedAndRunning(resident, 0, 2) {
+		return couldNotRun
+	}
+	machine := w.findWorker(func(*worker) bool { return true })
+	if trouble {
+		w.setSick(machine, true)
+	}
+	for i, id := range []string{"wk-000002", "wk-000003"} {
+		if !w.accepted(bound(arrayJob(id, "lecturas", 1, 3), "ceiba"), i) {
+			return couldNotRun
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		w.setSick(machine, false)
+	}
+	waiting := bound(arrayJob("wk-000004", "redes", 1, 5), "ceiba")
+	if !w.accepted(waiting, 2) {
+		return couldNotRun
+	}
+	return w.mustBegin(waiting, "the ceiba has 14 of 24 CPUs, 2 of 4 GPUs and 90 of 144 GB free, and the limit is 48 GPUs")
+}
+
 // caseShared: a job within its team's guarantee loses its spot machine and waits beside room on
 // the machine of another team.
 func caseShared(w *world, trouble bool) int {
