--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -60,7 +60,7 @@
 }
 
 func newWorld(rec *record, folder string) (*world, error) {
-	w := &world{rec: rec, site: solComun(), jobs: map[string]*job{}, on: map[*task]*worker{}, started: map[string]int{}, ran: map[string]bool{}}
+	w := &world{rec: rec, site: solComun(), jobs: map[string]*job{}, on: map[*task]*worker{}, started: map[string]int{}, ran: map[string]bool{}, links: map[[2]int]*link{}, cutsLinks: os.Args[1] == "soak"}
 	if os.Getenv("TRAZO") != "" { // the state service's and the workers' limits of the other small deployment
 		w.site.writeRPS, w.site.txnOps, w.site.valueKB, w.site.rps, w.site.leaseS, w.site.cancelS = 20, 12, 8, 200, 38, 58
 	}
--- a/review/lab/nodes.go
+++ b/review/lab/nodes.go
@@ -54,6 +54,18 @@
 	for i := range count {
 		w.nodes = append(w.nodes, &node{world: w, index: i, public: freeAddr(), internal: freeAddr()})
 	}
+	for i := range w.nodes {
+		for j, other := range w.nodes {
+			if i == j || !w.cutsLinks {
+				continue
+			}
+			l, err := newLink(other.internal)
+			if err != nil {
+				return err
+			}
+			w.links[[2]int{i, j}] = l
+		}
+	}
 	for i, n := range w.nodes {
 		n.config = filepath.Join(folder, fmt.Sprintf("settings-%d.json", i))
 		n.logPath = filepath.Join(folder, fmt.Sprintf("nodo-%d.log", i))
@@ -71,7 +83,11 @@
 	known, teams := []any{}, []any{}
 	for i, n := range w.nodes {
 		if i != index {
-			known = append(known, map[string]any{"node_name": fmt.Sprintf("nodo-%d", i), "site": zone(i), "addr": n.internal})
+			addr := n.internal
+			if l := w.links[[2]int{index, i}]; l != nil {
+				addr = l.at
+			}
+			known = append(known, map[string]any{"node_name": fmt.Sprintf("nodo-%d", i), "site": zone(i), "addr": addr})
 		}
 	}
 	for _, t := range s.teams {
--- a/review/lab/odd.go
+++ b/review/lab/odd.go
@@ -50,5 +50,9 @@
 			w.rec.log("ODD node %d rss %.1f MB, answered %d after %v", i, n.rssMB(), status, time.Since(at))
 		}
 	}
+	w.rec.log("ODD largest report: %d bytes", w.largest.Load())
+	if w.largest.Load() > 64<<10 {
+		w.broke("report_size: a worker's report has %d bytes", w.largest.Load())
+	}
 	return w.verdict()
 }
--- a/review/lab/world.go
+++ b/review/lab/world.go
@@ -93,8 +93,12 @@
 	lateReport  func(*worker, []byte)
 	rateFn      func(*instance, float64) float64
 	runFn       func(*task) float64
-	alone       int             // exits with cause alone
-	ran         map[string]bool // jobs of which a task has run
+	cutsLinks   bool             // the controllers reach each other through links
+	links       map[[2]int]*link // between controllers
+	away        [3]atomic.Bool   // controllers that no worker reaches
+	largest     atomic.Int64     // bytes of the largest report of a worker
+	alone       int              // exits with cause alone
+	ran         map[string]bool  // jobs of which a task has run
 }
 
 func (w *world) sick(m *instance) bool { return w.sickFn != nil && w.sickFn(m) }
@@ -312,3 +316,13 @@
 	}
 	return asked, told
 }
+
+// largestReport keeps the size of the largest report.
+func (w *world) largestReport(size int) {
+	for {
+		known := w.largest.Load()
+		if int64(size) <= known || w.largest.CompareAndSwap(known, int64(size)) {
+			return
+		}
+	}
+}
