--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -45,6 +45,8 @@
 	}
 	code := couldNotRun
 	if w.waitReady(20 * time.Second) {
+		// A job that comes before the machine types are known is planned up to 5 s later.
+		time.Sleep(2 * time.Second)
 		code = run(w, trouble)
 	} else {
 		rec.log("the controllers did not become ready")
