--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -74,14 +74,9 @@
 		return nil, err
 	}
 	w.cloud.types = w.site.types
-	if err := w.prepareNodes(3, folder); err != nil {
+	if err := w.startNodes(folder); err != nil {
 		return nil, err
 	}
-	for _, n := range w.nodes {
-		if err := n.start(); err != nil {
-			return nil, err
-		}
-	}
 	go w.watchCancelled()
 	return w, nil
 }
--- a/review/lab/nodes.go
+++ b/review/lab/nodes.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,16 +26,62 @@
 	logPath          string
 	cmd              *exec.Cmd
 	exited           chan struct{}
-	stopping         bool
+	stopping         atomic.Bool // its end is not its own
+	starting         bool        // its first start, which an address that is taken may end
 }
 
+// freeAddr returns a free address below the ports that the system gives to outgoing connections,
+// so that no other run takes it before the controller listens there.
 func freeAddr() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return ""
+	for {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 10000+rand.Intn(20000)))
+		if err != nil {
+			continue
+		}
+		defer listener.Close()
+		return listener.Addr().String()
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+}
+
+// startNodes starts the controllers. If one can't listen at its address, all are started again
+// at other ones.
+func (w *world) startNodes(folder string) error {
+	for range 5 {
+		w.nodes = nil
+		if err := w.prepareNodes(3, folder); err != nil {
+			return err
+		}
+		for _, n := range w.nodes {
+			n.starting = true
+			if err := n.start(); err != nil {
+				return err
+			}
+			n.starting = false
+		}
+		time.Sleep(300 * time.Millisecond)
+		if !w.anyExited() {
+			for _, n := range w.nodes {
+				n.stopping.Store(false)
+			}
+			return nil
+		}
+		w.rec.log("a controller did not start: all are started again at other addresses")
+		for _, n := range w.nodes {
+			n.kill()
+		}
+	}
+	return fmt.Errorf("the controllers could not be started")
+}
+
+func (w *world) anyExited() bool {
+	for _, n := range w.nodes {
+		select {
+		case <-n.exited:
+			return true
+		default:
+		}
+	}
+	return false
 }
 
 // runCommand returns the words of run in the deploy file.
@@ -133,12 +181,12 @@
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
-	n.stopping = false
+	n.stopping.Store(n.starting)
 	n.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		state, _ := cmd.Process.Wait()
 		n.world.rec.log("node %d ended: %v", n.index, state)
-		if !n.stopping {
+		if !n.stopping.Load() {
 			n.world.mu.Lock()
 			n.world.breach("crash: node %d ended by itself: %v", n.index, state)
 			n.world.mu.Unlock()
@@ -152,7 +200,7 @@
 func (n *node) signal(signal syscall.Signal) {
 	n.world.rec.log("fault: node %d gets %v", n.index, signal)
 	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
-		n.stopping = true
+		n.stopping.Store(true)
 	}
 	n.cmd.Process.Signal(signal)
 }
@@ -161,7 +209,7 @@
 	if n.cmd == nil || n.cmd.Process == nil {
 		return
 	}
-	n.stopping = true
+	n.stopping.Store(true)
 	n.cmd.Process.Kill()
 	<-n.exited
 }
